--- /dev/null
+++ b/src/main/java/beamspread/Main.java
@@ -0,0 +1,34 @@
+package beamspread;
+
+import beamspread.node.Node;
+import beamspread.sim.SimHost;
+import beamspread.sim.WireException;
+import java.io.IOException;
+
+/** The program's commands. */
+public final class Main {
+  private static final String USAGE = "usage: beamspread simhost | serve";
+
+  private Main() {}
+
+  /** Runs the command named by the first word. */
+  public static void main(String[] args) throws InterruptedException {
+    switch (args.length == 1 ? args[0] : "") {
+      case "simhost" -> simhost();
+      case "serve" -> System.exit(Node.serve(System.getenv("ROUTER_CONFIG")));
+      default -> {
+        System.err.println(USAGE);
+        System.exit(2);
+      }
+    }
+  }
+
+  private static void simhost() {
+    try {
+      new SimHost(System.in, System.out).run();
+    } catch (WireException | IOException e) {
+      System.err.println("simhost: " + e.getMessage());
+      System.exit(1);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/model/MembershipUpdate.java
@@ -0,0 +1,25 @@
+package beamspread.model;
+
+import java.util.List;
+
+/**
+ * News of the list of servers.
+ *
+ * @param kind what the entries mean
+ * @param version the list's version
+ * @param entries the lines that came with it
+ */
+public record MembershipUpdate(Kind kind, long version, List<ServerEntry> entries) {
+
+  /** What an update holds. */
+  public enum Kind {
+    /** The entries that changed. */
+    CHANGES,
+    /** The whole list. */
+    FULL,
+    /** The whole list as it was last known, perhaps old. */
+    REMEMBERED,
+    /** A call for the list failed, or the subscription broke. */
+    FAILED
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/node/DiscoveryClient.java
@@ -0,0 +1,244 @@
+package beamspread.node;
+
+import beamspread.sim.Message;
+import beamspread.sim.WireException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Asks discovery for the list of servers. Where the list must be asked for, a call is made only
+ * when the module says so, and its failure is told; where it is pushed, a watch is kept up here.
+ */
+final class DiscoveryClient {
+  private static final String PATH = "/catalog/members";
+
+  /**
+   * How long discovery may say nothing: a watch sends at least an empty line every 2 s, and a call
+   * waits in turn for about as long.
+   */
+  private static final long MAX_SILENCE_MILLIS = 4500;
+
+  private static final int CONNECT_TIMEOUT_MILLIS = 2000;
+  private static final long RETRY_MILLIS = 500;
+
+  /** Longest line, for thousands of servers. */
+  private static final int MAX_LINE = 4 << 20;
+
+  private final EventLoop loop;
+  private final InetSocketAddress address;
+  private final boolean asked;
+  private final Dispatcher dispatcher;
+  private long version;
+  private Call watch;
+
+  DiscoveryClient(
+      EventLoop loop,
+      InetSocketAddress address,
+      boolean asked,
+      long version,
+      Dispatcher dispatcher) {
+    this.loop = loop;
+    this.address = address;
+    this.asked = asked;
+    this.version = version;
+    this.dispatcher = dispatcher;
+  }
+
+  /** Follows the changes from the version last seen on. */
+  void follow() {
+    stop();
+    watch = new Call(true);
+  }
+
+  /** Stops following. */
+  void stop() {
+    if (watch != null) {
+      watch.end();
+      watch = null;
+    }
+  }
+
+  /** Asks once for the whole list. */
+  void readOnce() {
+    new Call(false);
+  }
+
+  private void failed(Call call, String why) {
+    if (call == watch) {
+      watch = null;
+    }
+    if (asked) {
+      dispatcher.listFailed(why);
+    } else {
+      loop.schedule(
+          () -> {
+            if (watch == null) {
+              follow();
+            }
+          },
+          RETRY_MILLIS,
+          TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** One call and its answer. */
+  private final class Call extends SimpleChannelInboundHandler<HttpObject> {
+    private final boolean follows;
+    private final ByteBuf line = Unpooled.buffer();
+    private final Channel channel;
+    private long heardAt = System.nanoTime();
+    private boolean over;
+
+    Call(boolean follows) {
+      this.follows = follows;
+      Bootstrap bootstrap =
+          new Bootstrap()
+              .group(loop)
+              .channel(NioSocketChannel.class)
+              .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+              .handler(
+                  new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                      ch.pipeline().addLast(new HttpClientCodec(), Call.this);
+                    }
+                  });
+      var connected = bootstrap.connect(address);
+      channel = connected.channel();
+      connected.addListener(
+          done -> {
+            if (done.isSuccess()) {
+              ask();
+            } else {
+              fail("no connection");
+            }
+          });
+      listen();
+    }
+
+    private void ask() {
+      String path = follows ? PATH + "?follow=1&since=" + version : PATH;
+      var request =
+          new DefaultFullHttpRequest(
+              HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
+      request
+          .headers()
+          .set(
+              HttpHeaderNames.HOST,
+              address.getAddress().getHostAddress() + ":" + address.getPort());
+      channel.writeAndFlush(request);
+    }
+
+    /** Guards against discovery falling silent, where its connections stay open. */
+    private void listen() {
+      loop.schedule(
+          () -> {
+            long silent = (System.nanoTime() - heardAt) / 1_000_000;
+            if (silent >= MAX_SILENCE_MILLIS) {
+              fail("silent");
+            } else if (!over) {
+              listen();
+            }
+          },
+          MAX_SILENCE_MILLIS / 8,
+          TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message)
+        throws WireException {
+      if (over) {
+        return;
+      }
+      heardAt = System.nanoTime();
+      if (message.decoderResult().isFailure()) {
+        fail("malformed answer");
+        return;
+      }
+      if (message instanceof HttpResponse response
+          && !response.status().equals(HttpResponseStatus.OK)) {
+        fail("answered " + response.status().code());
+        return;
+      }
+      if (message instanceof HttpContent content) {
+        take(content.content());
+        if (message instanceof LastHttpContent && !over) {
+          if (follows) {
+            fail("watch ended");
+          } else {
+            end();
+            list(line);
+          }
+        }
+      }
+    }
+
+    private void take(ByteBuf bytes) throws WireException {
+      line.writeBytes(bytes);
+      while (follows && !over) {
+        int length = line.bytesBefore((byte) '\n');
+        if (length < 0) {
+          break;
+        }
+        list(line.readSlice(length));
+        line.skipBytes(1);
+      }
+      line.discardReadBytes();
+      if (line.readableBytes() > MAX_LINE) {
+        throw new WireException("line too long");
+      }
+    }
+
+    private void list(ByteBuf text) throws WireException {
+      String json = text.toString(StandardCharsets.UTF_8);
+      if (!json.isBlank()) {
+        MemberList list = MemberList.parse(Message.parse(json));
+        version = list.version();
+        dispatcher.list(list);
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      fail("connection ended");
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      fail(cause.getMessage());
+    }
+
+    private void fail(String why) {
+      if (!over) {
+        end();
+        failed(this, why);
+      }
+    }
+
+    void end() {
+      over = true;
+      channel.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -0,0 +1,403 @@
+package beamspread.node;
+
+import beamspread.model.LoadReport;
+import beamspread.model.MembershipUpdate;
+import beamspread.model.Outcome;
+import beamspread.model.Settings;
+import beamspread.policy.Actions;
+import beamspread.policy.Balancer;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Stands between the decision module and the sockets: tells it what happens, one event after the
+ * other, and carries out what it decides. All of it runs on the event loop.
+ */
+final class Dispatcher implements Actions {
+  /**
+   * The node stops waiting for an attempt this long before the client stops waiting for the node,
+   * so that the module hears of the time-out before it must answer, and the answer is in time.
+   */
+  private static final long ANSWER_MARGIN_NANOS = 2_000_000;
+
+  /** How often requests are looked through for overdue ones after the module has failed. */
+  private static final long RESCUE_MILLIS = 10;
+
+  /** Something that has happened, to be told to the module. */
+  private interface Event {
+    void tell(double now);
+  }
+
+  private final Clock clock = new Clock();
+  private final EventLoop loop;
+  private final Settings settings;
+  private final Log log;
+  private final Balancer balancer;
+  private final ServerPools pools;
+  private final DiscoveryClient discovery;
+  private final Map<String, OpenRequest> open = new HashMap<>();
+  private final ArrayDeque<Event> events = new ArrayDeque<>();
+  private final Set<String> refusedCalls = new HashSet<>();
+  private boolean telling;
+  private boolean rescuing;
+
+  Dispatcher(NodeConfig config, EventLoop loop, ServerPools pools, Log log) {
+    this.loop = loop;
+    this.settings = config.settings();
+    this.log = log;
+    this.pools = pools;
+    this.balancer = new Balancer(settings, config.seed(), this);
+    this.discovery =
+        new DiscoveryClient(
+            loop, config.discovery(), settings.asksForList(), config.known().version(), this);
+  }
+
+  /** Tells the module the list as it was last known, and begins to follow it. */
+  void start(MemberList known) {
+    pools.update(this, known, clock.now());
+    tell(now -> balancer.membership(now, update(MembershipUpdate.Kind.REMEMBERED, known)));
+    if (!settings.asksForList()) {
+      discovery.follow();
+    }
+  }
+
+  /**
+   * Tells the module of an event, and then of those that its own actions cause: the module is never
+   * called from within one of its calls.
+   */
+  private void tell(Event event) {
+    events.add(event);
+    if (telling) {
+      return;
+    }
+    telling = true;
+    try {
+      for (Event next = events.poll(); next != null; next = events.poll()) {
+        try {
+          next.tell(clock.now());
+        } catch (RuntimeException | StackOverflowError e) {
+          report("decision module", e);
+          rescue();
+        }
+      }
+    } finally {
+      telling = false;
+    }
+  }
+
+  /**
+   * Guards against an exception in the module that makes it forget a request: until all that was
+   * open then is over, what the module has not answered in time is answered here.
+   */
+  private void rescue() {
+    if (!rescuing) {
+      rescuing = true;
+      List<OpenRequest> doubtful = new ArrayList<>(open.values());
+      loop.schedule(() -> rescue(doubtful), RESCUE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void rescue(List<OpenRequest> doubtful) {
+    long now = System.nanoTime();
+    for (OpenRequest request : doubtful) {
+      if (!request.ended && !request.streaming && now - request.deadlineNanos > 0) {
+        end(request, "SERVER_ERROR failed");
+      }
+    }
+    doubtful.removeIf(request -> request.ended);
+    if (doubtful.isEmpty()) {
+      rescuing = false;
+    } else {
+      loop.schedule(() -> rescue(doubtful), RESCUE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  void report(String where, Throwable cause) {
+    log.failure(where, cause);
+  }
+
+  // What clients do.
+
+  /** Takes a client's request; null if it was answered at once. */
+  OpenRequest request(MetaCommand command, ClientHandler.Slot slot) {
+    if (open.containsKey(command.request.id())) {
+      command.release();
+      slot.line("CLIENT_ERROR id in use");
+      return null;
+    }
+    OpenRequest request = new OpenRequest(command, slot, System.nanoTime());
+    open.put(request.id(), request);
+    tell(
+        now -> {
+          try {
+            balancer.request(now, command.request);
+          } catch (RuntimeException | StackOverflowError e) {
+            report("decision module", e);
+            end(request, "SERVER_ERROR failed");
+          }
+        });
+    return request;
+  }
+
+  /** The client has closed its connection. */
+  void clientGone(OpenRequest request) {
+    if (request.ended) {
+      return;
+    }
+    request.ended = true;
+    if (request.streaming) {
+      for (Attempt attempt : List.copyOf(request.attempts)) {
+        withdraw(attempt, Outcome.Result.CANCELLED);
+      }
+    }
+    tell(
+        now -> {
+          balancer.clientGone(now, request.id());
+          settle(request);
+        });
+  }
+
+  // What cache servers do.
+
+  /** An attempt ended without an answer, or with one that serves nobody. */
+  void ended(Attempt attempt, Outcome.Result result) {
+    ended(attempt, result, Outcome.Note.NONE, null);
+  }
+
+  private void ended(Attempt attempt, Outcome.Result result, Outcome.Note note, LoadReport load) {
+    if (attempt.over) {
+      return;
+    }
+    attempt.over = true;
+    if (attempt.timeout != null) {
+      attempt.timeout.cancel(false);
+    }
+    OpenRequest request = attempt.request;
+    double elapsed = (System.nanoTime() - attempt.sentAt) / 1e9;
+    if (request.streaming && !request.ended) {
+      request.ended = true;
+      if (result != Outcome.Result.OK) {
+        request.slot.cutOff();
+      }
+    }
+    tell(
+        now -> {
+          request.out--;
+          try {
+            balancer.outcome(
+                now,
+                new Outcome(
+                    request.id(),
+                    attempt.number,
+                    attempt.server,
+                    result,
+                    elapsed,
+                    request.ended,
+                    note,
+                    load));
+          } finally {
+            settle(request);
+          }
+        });
+  }
+
+  /** A reply has come, whole but for a long value's rest. */
+  void replied(Attempt attempt, MetaReply reply, ServerConnection from) {
+    OpenRequest request = attempt.request;
+    if (reply.result() == Outcome.Result.OK && !request.ended && !request.streaming) {
+      if (reply.streamed()) {
+        request.streaming = true;
+        attempt.timeout.cancel(false);
+        request.slot.begin(head(from.alloc(), reply, false), from);
+        tell(now -> balancer.streamStarted(now, request.id(), attempt.number));
+        return;
+      }
+      request.ended = true;
+      request.slot.whole(head(from.alloc(), reply, true));
+    }
+    ended(attempt, reply.result(), reply.note(), reply.load());
+  }
+
+  /** A long value goes on, or ends. */
+  void piece(Attempt attempt, ByteBuf bytes, MetaReply reply, boolean end) {
+    attempt.request.slot.piece(bytes.retain(), end);
+    if (end) {
+      ended(attempt, Outcome.Result.OK, reply.note(), reply.load());
+    }
+  }
+
+  private static ByteBuf head(ByteBufAllocator allocator, MetaReply reply, boolean whole) {
+    int size = whole && reply.value() != null ? reply.value().readableBytes() : 0;
+    ByteBuf bytes = allocator.buffer(reply.id().length() + 48 + size);
+    if (reply.length() < 0) {
+      ByteBufUtil.writeAscii(bytes, "HD O");
+      ByteBufUtil.writeAscii(bytes, reply.id());
+      if (reply.receipt() != null) {
+        ByteBufUtil.writeAscii(bytes, " c");
+        ByteBufUtil.writeAscii(bytes, reply.receipt());
+      }
+    } else {
+      ByteBufUtil.writeAscii(bytes, "VA ");
+      ByteBufUtil.writeAscii(bytes, Integer.toString(reply.length()));
+      ByteBufUtil.writeAscii(bytes, " O");
+      ByteBufUtil.writeAscii(bytes, reply.id());
+    }
+    bytes.writeShort(0x0D0A);
+    return size > 0 ? bytes.writeBytes(reply.value(), reply.value().readerIndex(), size) : bytes;
+  }
+
+  // What discovery says.
+
+  void list(MemberList list) {
+    pools.update(this, list, clock.now());
+    MembershipUpdate.Kind kind =
+        list.full() ? MembershipUpdate.Kind.FULL : MembershipUpdate.Kind.CHANGES;
+    tell(now -> balancer.membership(now, update(kind, list)));
+  }
+
+  void listFailed(String why) {
+    log.line("discovery: " + why);
+    tell(
+        now ->
+            balancer.membership(
+                now, new MembershipUpdate(MembershipUpdate.Kind.FAILED, 0, List.of())));
+  }
+
+  private static MembershipUpdate update(MembershipUpdate.Kind kind, MemberList list) {
+    return new MembershipUpdate(
+        kind, list.version(), list.members().stream().map(MemberList.Member::entry).toList());
+  }
+
+  // What the module decides.
+
+  @Override
+  public void send(String requestId, long server, double timeout) {
+    OpenRequest request = open.get(requestId);
+    if (request == null) {
+      log.line("send for unknown request " + requestId);
+      return;
+    }
+    long now = System.nanoTime();
+    long latest = request.deadlineNanos - ANSWER_MARGIN_NANOS;
+    long deadline = timeout == 0 ? latest : Math.min(latest, now + (long) (timeout * 1e9));
+    Attempt attempt = new Attempt(request, request.attempts.size(), server, deadline);
+    request.attempts.add(attempt);
+    request.out++;
+    if (request.ended
+        || request.streaming
+        || attempt.number >= settings.limits().maxAttempts()
+        || latest - now <= 0) {
+      ended(attempt, Outcome.Result.MOOT);
+      return;
+    }
+    attempt.timeout =
+        loop.schedule(
+            () -> withdraw(attempt, Outcome.Result.TIMEOUT),
+            Math.max(0, deadline - now),
+            TimeUnit.NANOSECONDS);
+    pools.send(attempt);
+  }
+
+  /** Stops waiting for an attempt. */
+  private void withdraw(Attempt attempt, Outcome.Result result) {
+    if (!attempt.over) {
+      // Its time ran out while it waited for a connection: that none came up proves it never ran.
+      boolean unsent = attempt.connection == null && result == Outcome.Result.TIMEOUT;
+      pools.withdraw(attempt, result == Outcome.Result.TIMEOUT);
+      ended(attempt, unsent ? Outcome.Result.CONNECT_FAILED : result);
+    }
+  }
+
+  @Override
+  public void cancel(String requestId, int number) {
+    OpenRequest request = open.get(requestId);
+    if (request != null && number < request.attempts.size() && !request.streaming) {
+      withdraw(request.attempts.get(number), Outcome.Result.CANCELLED);
+    }
+  }
+
+  @Override
+  public void refuse(String requestId, double retryAfter) {
+    long millis = Math.round(retryAfter * 1e3);
+    end(open.get(requestId), "SERVER_ERROR busy" + (millis > 0 ? " " + millis : ""));
+  }
+
+  @Override
+  public void fail(String requestId) {
+    end(open.get(requestId), "SERVER_ERROR failed");
+  }
+
+  private void end(OpenRequest request, String answer) {
+    if (request != null && !request.ended && !request.streaming) {
+      request.ended = true;
+      request.slot.line(answer);
+      settle(request);
+    }
+  }
+
+  /** Forgets what is over. */
+  private void settle(OpenRequest request) {
+    if (request.ended) {
+      request.command.release();
+      if (request.out == 0) {
+        open.remove(request.id(), request);
+      }
+    }
+  }
+
+  @Override
+  public void wake(long token, double delay) {
+    loop.schedule(
+        () -> tell(now -> balancer.timer(now, token)), (long) (delay * 1e9), TimeUnit.NANOSECONDS);
+  }
+
+  @Override
+  public void subscribe(boolean on) {
+    if (on) {
+      discovery.follow();
+    } else {
+      discovery.stop();
+    }
+  }
+
+  @Override
+  public void readList() {
+    discovery.readOnce();
+  }
+
+  @Override
+  public void closeIdle(long server) {
+    pools.closeIdle(server);
+  }
+
+  @Override
+  public void probe(long server) {
+    unsupported("probes");
+  }
+
+  @Override
+  public void tellPeer(int peer, String message) {
+    unsupported("messages to peers");
+  }
+
+  private void unsupported(String what) {
+    if (refusedCalls.add(what)) {
+      log.line("the decision module asked for " + what + ", which this node does not have");
+    }
+  }
+
+  @Override
+  public void log(String text) {
+    log.line(text);
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/node/MemberList.java
@@ -0,0 +1,79 @@
+package beamspread.node;
+
+import beamspread.model.ServerEntry;
+import beamspread.sim.Message;
+import beamspread.sim.WireException;
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+
+/**
+ * The list of cache servers, or a change of it, in discovery's form.
+ *
+ * @param full whether it is the whole list
+ * @param version its version
+ * @param members its lines
+ */
+record MemberList(boolean full, long version, List<Member> members) {
+
+  /**
+   * One cache server.
+   *
+   * @param entry what the decision module is told of it
+   * @param address where this node reaches it; null for one that has left
+   */
+  record Member(ServerEntry entry, InetSocketAddress address) {}
+
+  static MemberList parse(Message list) throws WireException {
+    List<Member> members = new ArrayList<>();
+    for (Message line : list.objects("servers")) {
+      ServerEntry.State state =
+          switch (line.requiredText("state")) {
+            case "active" -> ServerEntry.State.READY;
+            case "left" -> ServerEntry.State.GONE;
+            default -> ServerEntry.State.DRAINING;
+          };
+      members.add(
+          new Member(
+              new ServerEntry(
+                  number(line.requiredText("id")),
+                  line.text("zone", ""),
+                  line.text("kind", ""),
+                  (int) line.number("cell", 0),
+                  state,
+                  line.number("weight", 1),
+                  line.number("started_ms", 0) / 1e3),
+              state == ServerEntry.State.GONE ? null : address(line.requiredText("addr"))));
+    }
+    return new MemberList(list.flag("full"), (long) list.requiredNumber("version"), members);
+  }
+
+  /**
+   * The number by which the module knows a server: made from the id alone, so that all nodes agree
+   * on a key's home, and wide enough that no two ids of a fleet meet.
+   */
+  static long number(String id) {
+    return UUID.nameUUIDFromBytes(id.getBytes(StandardCharsets.UTF_8)).getMostSignificantBits();
+  }
+
+  /** An address and port written in figures: there is no DNS. */
+  static InetSocketAddress address(String text) throws WireException {
+    int colon = text.lastIndexOf(':');
+    byte[] ip =
+        colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+    try {
+      int port = Integer.parseInt(text.substring(colon + 1));
+      if (ip != null && port > 0 && port < 1 << 16) {
+        return new InetSocketAddress(InetAddress.getByAddress(ip), port);
+      }
+    } catch (NumberFormatException | UnknownHostException e) {
+      // Told below.
+    }
+    throw new WireException("'" + text + "' is not an IP address and port");
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/node/OpenRequest.java
@@ -0,0 +1,31 @@
+package beamspread.node;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A request that this node has taken, from its last byte to its final answer and last outcome. */
+final class OpenRequest {
+  final MetaCommand command;
+  final ClientHandler.Slot slot;
+  final long deadlineNanos;
+  final List<Attempt> attempts = new ArrayList<>(1);
+
+  /** Attempts whose outcome the module has not been told. */
+  int out;
+
+  /** Whether the final answer is given, or the client has gone. */
+  boolean ended;
+
+  /** Whether a long value is under way to the client: there is no deadline any more. */
+  boolean streaming;
+
+  OpenRequest(MetaCommand command, ClientHandler.Slot slot, long now) {
+    this.command = command;
+    this.slot = slot;
+    this.deadlineNanos = now + (long) (command.request.budget() * 1e9);
+  }
+
+  String id() {
+    return command.request.id();
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/policy/Actions.java
@@ -0,0 +1,37 @@
+package beamspread.policy;
+
+/** What a {@link Balancer} can do; the shell around it carries these out, in order. */
+public interface Actions {
+  /** Sends the request's next attempt to a server; a timeout of 0 waits as long as the client. */
+  void send(String requestId, long server, double timeout);
+
+  /** Stops waiting for one attempt. */
+  void cancel(String requestId, int attempt);
+
+  /** Final answer: not done, trying again does no harm; {@code retryAfter} of 0 is no advice. */
+  void refuse(String requestId, double retryAfter);
+
+  /** Final answer: failed, perhaps with effect. */
+  void fail(String requestId);
+
+  /** Asks for a timer event with this token. */
+  void wake(long token, double delay);
+
+  /** Subscribes to changes of the server list, or stops. */
+  void subscribe(boolean on);
+
+  /** Asks once for the whole server list. */
+  void readList();
+
+  /** Probes a server. */
+  void probe(long server);
+
+  /** Closes the idle connections to a server. */
+  void closeIdle(long server);
+
+  /** Sends a message to one peer, or to all of them if {@code peer} is negative. */
+  void tellPeer(int peer, String message);
+
+  /** Writes a line to the log. */
+  void log(String text);
+}
--- /dev/null
+++ b/src/main/java/beamspread/policy/KeyHeat.java
@@ -0,0 +1,47 @@
+package beamspread.policy;
+
+/** How often this balancer sees each key: a small count-min sketch that fades. */
+final class KeyHeat {
+  private static final int CELLS = 1 << 12;
+
+  /** Seconds after which old sightings count half: a few, since popularity moves on. */
+  private static final double HALF_LIFE = 4;
+
+  private final float[][] rows = new float[2][CELLS];
+  private float total;
+  private double foldedAt;
+
+  /** Counts a sighting and returns the key's weight: its recent sightings, an upper estimate. */
+  float seen(double now, long keyHash) {
+    if (foldedAt == 0) {
+      foldedAt = now;
+    }
+    while (now - foldedAt >= HALF_LIFE / 4) {
+      foldedAt += HALF_LIFE / 4;
+      fold();
+    }
+    total++;
+    float least = Float.MAX_VALUE;
+    long h = keyHash;
+    for (float[] row : rows) {
+      h = SlotTable.mix(h);
+      least = Math.min(least, ++row[(int) h & (CELLS - 1)]);
+    }
+    return least;
+  }
+
+  /** All recent sightings, counted alike. */
+  float total() {
+    return total;
+  }
+
+  private void fold() {
+    float keep = 0.8409f; // the fourth root of a half
+    total *= keep;
+    for (float[] row : rows) {
+      for (int i = 0; i < CELLS; i++) {
+        row[i] *= keep;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/policy/MembershipFeed.java
@@ -0,0 +1,120 @@
+package beamspread.policy;
+
+import beamspread.model.MembershipUpdate;
+import beamspread.model.ServerEntry;
+import beamspread.model.Settings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/** Follows the list of servers and keeps asking for it where it must be asked. */
+final class MembershipFeed {
+  private final Settings settings;
+  private final Actions actions;
+  private final SplittableRandom random;
+  private final TreeMap<Long, ServerHealth> servers = new TreeMap<>();
+  private boolean launched;
+  private boolean subscribed;
+  private double callAt = Double.POSITIVE_INFINITY;
+  private int failures;
+
+  MembershipFeed(Settings settings, Actions actions, SplittableRandom random) {
+    this.settings = settings;
+    this.actions = actions;
+    this.random = random;
+  }
+
+  /** All servers of the list that are ready, by id. */
+  List<ServerHealth> ready() {
+    List<ServerHealth> found = new ArrayList<>();
+    for (ServerHealth server : servers.values()) {
+      if (server.ready()) {
+        found.add(server);
+      }
+    }
+    return found;
+  }
+
+  /** Takes news of the list in. */
+  void apply(double now, MembershipUpdate update) {
+    switch (update.kind()) {
+      case FAILED -> {
+        // The list service is small and shared: back off with jitter so that balancers whose
+        // calls failed together do not come back together, yet never as long as askWithin.
+        subscribed = false;
+        failures = Math.min(failures + 1, 8);
+        double longest = Math.max(settings.contract().askWithin() * 0.4, settings.tick());
+        double pause = Math.min(longest, 0.25 * Math.pow(2, failures));
+        callIn(now, pause * (0.5 + 0.5 * random.nextDouble()));
+      }
+      case FULL, REMEMBERED -> {
+        TreeMap<Long, ServerHealth> old = new TreeMap<>(servers);
+        for (ServerEntry entry : update.entries()) {
+          old.remove(entry.id());
+          put(now, entry);
+        }
+        for (ServerHealth lost : old.values()) {
+          remove(lost);
+        }
+        answered(update.kind());
+      }
+      case CHANGES -> {
+        for (ServerEntry entry : update.entries()) {
+          put(now, entry);
+        }
+        answered(update.kind());
+      }
+    }
+    if (!launched) {
+      launched = true;
+      if (settings.asksForList()) {
+        // Restarted balancers start together: spread their first calls by a little.
+        callIn(now, Math.min(0.02 * settings.instances(), 0.5) * random.nextDouble());
+      }
+    }
+  }
+
+  private void answered(MembershipUpdate.Kind kind) {
+    if (kind != MembershipUpdate.Kind.REMEMBERED) {
+      subscribed = true;
+      failures = 0;
+      callAt = Double.POSITIVE_INFINITY;
+    }
+  }
+
+  private void put(double now, ServerEntry entry) {
+    ServerHealth server = servers.get(entry.id());
+    if (entry.state() == ServerEntry.State.GONE) {
+      if (server != null) {
+        remove(server);
+      }
+    } else if (server == null) {
+      servers.put(entry.id(), new ServerHealth(entry, now, settings.contract()));
+    } else {
+      server.listed(entry, now);
+    }
+  }
+
+  private void remove(ServerHealth server) {
+    server.listed = false;
+    servers.remove(server.id);
+  }
+
+  private void callIn(double now, double delay) {
+    callAt = now + delay;
+    actions.wake(Balancer.FEED_TOKEN, delay);
+  }
+
+  /** The feed's timer came due. */
+  void timer(double now) {
+    if (subscribed || !settings.asksForList()) {
+      return;
+    }
+    if (now + 1e-6 >= callAt) {
+      actions.subscribe(true);
+      // A call whose answer never comes must not leave this balancer silent.
+      callIn(now, Math.max(settings.contract().askWithin() * 0.8, settings.tick()));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/policy/ServerHealth.java
@@ -0,0 +1,202 @@
+package beamspread.policy;
+
+import beamspread.model.Outcome;
+import beamspread.model.ServerEntry;
+import beamspread.model.Settings;
+
+/** What this balancer knows of one server: its list entry, requests in flight, health, warmth. */
+final class ServerHealth {
+  /** Failures to connect in a row that make a server suspect; one may be a full server's. */
+  private static final int SUSPECT_AFTER = 2;
+
+  /** Attempts in a row not served that make a server suspect, where most servers fare well. */
+  static final int UNSERVED_AFTER = 3;
+
+  /** Pause before a suspect's first trial, and the longest one, in seconds. */
+  private static final double FIRST_PAUSE = 0.5;
+
+  private static final double LONGEST_PAUSE = 4;
+
+  /** Seconds in which unrenewed strain fades to a third. */
+  private static final double STRAIN_FADES = 3;
+
+  final long id;
+  ServerEntry entry;
+  int inFlight;
+
+  /**
+   * The share of its keys that the server is offered, learned from how it fares: the others jump.
+   * Which keys stay goes by their hash alone, so balancers that learn alike move the same keys.
+   */
+  private double share = 1;
+
+  /** How strained it is, lately: above 1 its answers come late or its cores are all in use. */
+  private double strain = 0.5;
+
+  private double learnedAt;
+
+  private final Settings.Contract contract;
+  boolean listed = true;
+  private double startedAt;
+  private int failures;
+  private double pause;
+  private double trialAt;
+  private boolean trialOut;
+
+  /** Attempts in a row that it did not serve. */
+  int unserved;
+
+  /** When a connection was last in use; none is held when this is too long ago. */
+  double connectedAt = Double.NEGATIVE_INFINITY;
+
+  /** Whether its process ended by what was seen: a connection to it broke. */
+  private boolean died;
+
+  private double tokens;
+  private double tokensAt;
+
+  ServerHealth(ServerEntry entry, double now, Settings.Contract contract) {
+    this.id = entry.id();
+    this.entry = entry;
+    this.contract = contract;
+    this.startedAt = entry.startedAt() > 0 ? entry.startedAt() : Double.NEGATIVE_INFINITY;
+    this.tokensAt = now;
+    this.learnedAt = now;
+  }
+
+  /** The list has news of this server; a new start means an empty cache and a cold machine. */
+  void listed(ServerEntry news, double now) {
+    if (news.startedAt() > entry.startedAt()) {
+      startedAt = Math.max(startedAt, news.startedAt());
+      failures = 0;
+      trialOut = false;
+      tokens = 0;
+      tokensAt = now;
+    }
+    entry = news;
+    listed = true;
+  }
+
+  /** Rule 3: only servers that the list calls ready get anything new. */
+  boolean ready() {
+    return listed && entry.state() == ServerEntry.State.READY;
+  }
+
+  boolean suspect() {
+    return failures >= SUSPECT_AFTER;
+  }
+
+  /** Whether a suspect server may get a trial request now: one at a time, after a pause. */
+  boolean trialDue(double now) {
+    return !trialOut && now >= trialAt;
+  }
+
+  /**
+   * A sign of strain, 1 being the most that is fair. Guards against servers that are slower than
+   * the list says, or have more than their part of the keys, where each balancer has too few
+   * requests in flight for a cap to act.
+   */
+  void strained(double now, double sample, double fair) {
+    strain = strain(now) + 0.2 * (Math.min(4, Math.max(0, sample)) - strain(now));
+    double clipped = Math.min(4, Math.max(0, sample / fair));
+    if (clipped > 1) {
+      // A balancer that sees little learns more from each sample: it speaks for the time before it.
+      double gain = Math.max(0.1, Math.min(0.25, 0.2 * (now - learnedAt)));
+      share *= 1 - gain * (clipped - 1);
+    } else {
+      share += 0.05 * (1 - clipped) * Math.max(share, 0.2);
+    }
+    // Without any sample the share still comes back slowly: a server with few keys has few.
+    share += 0.02 * Math.min(5, Math.max(0, now - learnedAt));
+    share = Math.min(1, Math.max(0.02, share));
+    learnedAt = now;
+  }
+
+  /** Old strain fades: a server that gets nothing must not be held strained for good. */
+  double strain(double now) {
+    return strain * Math.exp(Math.min(0, learnedAt - now) / STRAIN_FADES);
+  }
+
+  double share(double now) {
+    return Math.min(1, share + 0.02 * Math.max(0, now - learnedAt));
+  }
+
+  /** Whether the key is among those that the server keeps while it is offered but a share. */
+  boolean keeps(double now, long keyHash, double most) {
+    double kept = share(now) / most;
+    return kept >= 1 || SlotTable.fraction(keyHash ^ SlotTable.mix(id)) < kept;
+  }
+
+  /** The share of its capacity that a started server has by the contract: 1 once it is warm. */
+  double warmth(double now) {
+    double age = now - startedAt;
+    if (!(age < contract.warmWithin())) {
+      return 1;
+    }
+    double from = Math.max(0.01, Math.min(1, contract.coldFrom()));
+    return from + (1 - from) * Math.max(0, age) / contract.warmWithin();
+  }
+
+  /**
+   * Rule 4: whether a cold server's budget has room for one more request. The rate is at which warm
+   * servers of like weight answer this balancer, times what the cold one can do by now.
+   */
+  boolean coldRoom(double now, double warmRate) {
+    double rate = warmRate * warmth(now);
+    tokens = Math.min(Math.max(1, rate * 0.25), tokens + (now - tokensAt) * rate);
+    tokensAt = now;
+    return tokens >= 1;
+  }
+
+  void sent(double now, boolean cold) {
+    inFlight++;
+    if (cold) {
+      tokens -= 1;
+    }
+    if (suspect()) {
+      trialOut = true;
+    }
+  }
+
+  /** An attempt ended; true if the server refused a connection and may yet be running. */
+  boolean ended(double now, Outcome outcome, double idleTimeout, boolean few) {
+    Outcome.Result result = outcome.result();
+    boolean served = result == Outcome.Result.OK || result == Outcome.Result.NOT_STORED;
+    // An error that names a miss is the origin's.
+    boolean failed =
+        result == Outcome.Result.TIMEOUT
+            || result == Outcome.Result.FULL
+            || (result == Outcome.Result.ERROR && outcome.note() == Outcome.Note.NONE);
+    unserved = served ? 0 : unserved + (failed ? 1 : 0);
+    inFlight--;
+    trialOut = false;
+    boolean was = suspect();
+    if (result.unreachable()) {
+      // A server at its limit of connections refuses as a dead one does, but keeps those it has.
+      died |= result == Outcome.Result.RESET || now - connectedAt < idleTimeout;
+      connectedAt = Double.NEGATIVE_INFINITY;
+      failures++;
+    } else if (result.fromServer()) {
+      connectedAt = now;
+      if (was && died) {
+        // It was down and answers again before the list has told: its process is new and cold.
+        startedAt = Math.max(startedAt, now);
+        tokens = 0;
+        tokensAt = now;
+      }
+      failures = 0;
+      died = false;
+    }
+    // Guards against servers that hang, whose fetches would be taken for the origin's losses, and
+    // against those that turn all away at once and so draw the most; not where many do so, for that
+    // has a cause that they share.
+    if (failed && few && unserved >= UNSERVED_AFTER) {
+      failures = SUSPECT_AFTER;
+    }
+    if (suspect() && !served) {
+      pause = was ? Math.min(LONGEST_PAUSE, pause * 1.5) : FIRST_PAUSE;
+      trialAt = now + pause;
+    }
+    return result.unreachable() && !died;
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/policy/SlotTable.java
@@ -0,0 +1,84 @@
+package beamspread.policy;
+
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * The array of slots of Random Jump Consistent Hashing. Every slot belongs to the server hashed
+ * nearest clockwise of it. Hashes use ids and keys alone, so balancers with the same list agree.
+ */
+final class SlotTable {
+  /** Slots (m): ten times the points of a hundred servers, so that few points share a slot. */
+  static final int SLOTS = 1 << 17;
+
+  /** Points of a server of unit weight: shares of homes then differ by about 1/sqrt(128). */
+  static final int POINTS = 128;
+
+  private static final int MASK = SLOTS - 1;
+  private final ServerHealth[] owners = new ServerHealth[SLOTS];
+
+  /** Makes the table anew; a pure function of the servers, whatever order they came in. */
+  void rebuild(List<ServerHealth> servers, boolean weighted) {
+    Arrays.fill(owners, null);
+    double unit = weighted ? unit(servers) : 1;
+    for (ServerHealth server : servers) {
+      int points = weighted ? points(server.entry.weight() / unit) : POINTS;
+      for (int p = 0; p < points; p++) {
+        int slot = (int) mix(mix(server.id) + p) & MASK;
+        if (owners[slot] == null || server.id < owners[slot].id) {
+          owners[slot] = server;
+        }
+      }
+    }
+    // Twice around: the first round only finds the owner of the last slots.
+    ServerHealth next = null;
+    for (int i = 2 * SLOTS - 1; i >= 0; i--) {
+      if (owners[i & MASK] != null) {
+        next = owners[i & MASK];
+      } else if (i < SLOTS) {
+        owners[i] = next;
+      }
+    }
+  }
+
+  /** A power of four near the greatest weight: it hardly ever changes when servers come and go. */
+  private static double unit(List<ServerHealth> servers) {
+    double greatest = 0;
+    for (ServerHealth server : servers) {
+      greatest = Math.max(greatest, LoadCap.usable(server.entry.weight()));
+    }
+    return greatest > 0 ? Math.pow(4, Math.rint(Math.log(greatest) / Math.log(4))) : 1;
+  }
+
+  /** Points of a weight in units, bounded so that an odd weight neither vanishes nor floods. */
+  private static int points(double weight) {
+    return (int) Math.max(4, Math.min(2 * POINTS, Math.rint(POINTS * LoadCap.usable(weight))));
+  }
+
+  /** The owner of slot h(key, attempt); null if there are no servers. */
+  ServerHealth owner(long keyHash, int attempt) {
+    return owners[(int) mix(keyHash + attempt * 0x9E3779B97F4A7C15L) & MASK];
+  }
+
+  /** A 64-bit hash of a text: FNV-1a, then mixed. */
+  static long hash(String text) {
+    long h = 0xCBF29CE484222325L;
+    for (int i = 0; i < text.length(); i++) {
+      h = (h ^ text.charAt(i)) * 0x100000001B3L;
+    }
+    return mix(h);
+  }
+
+  /** The finalizer of SplitMix64. */
+  static long mix(long z) {
+    z += 0x9E3779B97F4A7C15L;
+    z = (z ^ (z >>> 30)) * 0xBF58476D1CE4E5B9L;
+    z = (z ^ (z >>> 27)) * 0x94D049BB133111EBL;
+    return z ^ (z >>> 31);
+  }
+
+  /** A hash as a number in [0, 1). */
+  static double fraction(long hash) {
+    return (mix(hash) >>> 11) * 0x1.0p-53;
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/policy/Rig.java
@@ -0,0 +1,146 @@
+package beamspread.policy;
+
+import beamspread.model.MembershipUpdate;
+import beamspread.model.Outcome;
+import beamspread.model.Request;
+import beamspread.model.ServerEntry;
+import beamspread.model.Settings;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Builds small worlds for tests: settings, servers, and a recorder of actions. */
+final class Rig {
+  /** One recorded action. */
+  record Act(String what, String id, long number, double value) {}
+
+  /** Writes every action down. */
+  static class Recorder implements Actions {
+    final List<Act> acts = new ArrayList<>();
+
+    @Override
+    public void send(String requestId, long server, double timeout) {
+      acts.add(new Act("send", requestId, server, timeout));
+    }
+
+    @Override
+    public void cancel(String requestId, int attempt) {
+      acts.add(new Act("cancel", requestId, attempt, 0));
+    }
+
+    @Override
+    public void refuse(String requestId, double retryAfter) {
+      acts.add(new Act("refuse", requestId, 0, retryAfter));
+    }
+
+    @Override
+    public void fail(String requestId) {
+      acts.add(new Act("fail", requestId, 0, 0));
+    }
+
+    @Override
+    public void wake(long token, double delay) {
+      acts.add(new Act("wake", "", token, delay));
+    }
+
+    @Override
+    public void subscribe(boolean on) {
+      acts.add(new Act("subscribe", "", on ? 1 : 0, 0));
+    }
+
+    @Override
+    public void readList() {
+      acts.add(new Act("readList", "", 0, 0));
+    }
+
+    @Override
+    public void probe(long server) {
+      acts.add(new Act("probe", "", server, 0));
+    }
+
+    @Override
+    public void closeIdle(long server) {
+      acts.add(new Act("closeIdle", "", server, 0));
+    }
+
+    @Override
+    public void tellPeer(int peer, String message) {
+      acts.add(new Act("tellPeer", message, peer, 0));
+    }
+
+    @Override
+    public void log(String text) {
+      acts.add(new Act("log", text, 0, 0));
+    }
+
+    List<Act> of(String what) {
+      return acts.stream().filter(a -> a.what().equals(what)).toList();
+    }
+  }
+
+  private Rig() {}
+
+  static Settings settings(boolean asks, int maxAttempts, boolean parallel) {
+    return new Settings(
+        "a",
+        List.of("a", "b"),
+        List.of("box"),
+        0,
+        4,
+        asks,
+        Settings.Weights.NONE,
+        new Settings.CacheMode(false, null, 0, 0),
+        new Settings.Limits(maxAttempts, parallel, true, false, false, false, 1, 0.1, 60, 32),
+        new Settings.Contract(0.02, 10, 2, 0.1, 20, 3, 2),
+        new Settings.Prices(0, 0, 0, 0, 0, 0, 0, 0, 0),
+        List.of(
+            service("safe", Settings.Effect.SAFE, Settings.Group.ALL),
+            service("all", Settings.Effect.KEYED, Settings.Group.ALL),
+            service("zone", Settings.Effect.KEYED, Settings.Group.ZONE),
+            service("cell", Settings.Effect.KEYED, Settings.Group.CELL),
+            service("unsafe", Settings.Effect.UNSAFE, Settings.Group.ALL)),
+        List.of(),
+        1,
+        0.005);
+  }
+
+  private static Settings.ServiceClass service(
+      String name, Settings.Effect effect, Settings.Group group) {
+    return new Settings.ServiceClass(name, 0.5, 0, 2, 1, 0.2, effect, group, 1, false);
+  }
+
+  static ServerEntry server(long id) {
+    return server(id, ServerEntry.State.READY, 0);
+  }
+
+  static ServerEntry server(long id, ServerEntry.State state, double startedAt) {
+    return new ServerEntry(id, id % 2 == 0 ? "a" : "b", "box", (int) id % 3, state, 1, startedAt);
+  }
+
+  static MembershipUpdate list(MembershipUpdate.Kind kind, List<ServerEntry> entries) {
+    return new MembershipUpdate(kind, 1, entries);
+  }
+
+  static MembershipUpdate fleet(int size) {
+    List<ServerEntry> entries = new ArrayList<>();
+    for (long id = 1; id <= size; id++) {
+      entries.add(server(id));
+    }
+    return list(MembershipUpdate.Kind.REMEMBERED, entries);
+  }
+
+  static Request request(String id, String key, String type, double budget) {
+    return new Request(id, key, type, null, budget, 0, 0, false, !type.equals("safe"));
+  }
+
+  static Outcome outcome(String id, int attempt, long server, Outcome.Result result) {
+    return new Outcome(
+        id,
+        attempt,
+        server,
+        result,
+        0.05,
+        result == Outcome.Result.OK,
+        result == Outcome.Result.OK ? Outcome.Note.HIT : Outcome.Note.NONE,
+        null);
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/policy/SlotTableTest.java
@@ -0,0 +1,96 @@
+package beamspread.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class SlotTableTest {
+  private static ServerHealth server(long id) {
+    return new ServerHealth(Rig.server(id), 0, Rig.settings(false, 4, true).contract());
+  }
+
+  private static long[] homes(List<ServerHealth> servers) {
+    SlotTable table = new SlotTable();
+    table.rebuild(servers, false);
+    long[] homes = new long[20_000];
+    for (int i = 0; i < homes.length; i++) {
+      homes[i] = table.owner(SlotTable.hash("key" + i), 0).id;
+    }
+    return homes;
+  }
+
+  @Test
+  void changesMoveOnlyTheSlotsOfTheServersConcerned() {
+    Random random = new Random(7);
+    List<ServerHealth> servers = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      servers.add(server(random.nextInt(1 << 30)));
+    }
+    long[] before = homes(servers);
+    for (int change = 0; change < 30; change++) {
+      long id;
+      boolean added = random.nextBoolean() || servers.size() < 5;
+      if (added) {
+        id = random.nextInt(1 << 30);
+        servers.add(server(id));
+      } else {
+        id = servers.remove(random.nextInt(servers.size())).id;
+      }
+      long[] after = homes(servers);
+      int moved = 0;
+      for (int i = 0; i < before.length; i++) {
+        if (before[i] != after[i]) {
+          moved++;
+          assertEquals(id, added ? after[i] : before[i]);
+        }
+      }
+      int size = added ? servers.size() : servers.size() + 1;
+      assertTrue(moved <= 1.6 * before.length / size, moved + " keys moved of a fair share");
+      before = after;
+    }
+  }
+
+  @Test
+  void agreesWhateverOrderTheServersCameIn() {
+    List<ServerHealth> servers = new ArrayList<>();
+    for (long id = 1; id <= 30; id++) {
+      servers.add(server(id * 7919));
+    }
+    long[] one = homes(servers);
+    Collections.shuffle(servers, new Random(3));
+    long[] other = homes(servers);
+    for (int i = 0; i < one.length; i++) {
+      assertEquals(one[i], other[i]);
+    }
+  }
+
+  @Test
+  void spreadsHomesEvenly() {
+    List<ServerHealth> servers = new ArrayList<>();
+    for (long id = 1; id <= 25; id++) {
+      servers.add(server(id * 104729));
+    }
+    int[] count = new int[26];
+    long[] homes = homes(servers);
+    for (long home : homes) {
+      count[(int) (home / 104729)]++;
+    }
+    for (int i = 1; i <= 25; i++) {
+      double share = count[i] * 25.0 / homes.length;
+      assertTrue(share > 0.65 && share < 1.4, "share of a fair one: " + share);
+    }
+  }
+
+  @Test
+  void ownsNothingWithoutServers() {
+    SlotTable table = new SlotTable();
+    table.rebuild(List.of(), true);
+    assertNull(table.owner(5, 0));
+  }
+}
