--- a/src/main/java/beamspread/model/Outcome.java
+++ b/src/main/java/beamspread/model/Outcome.java
@@ -31,6 +31,8 @@
     CONNECT_FAILED(true, false),
     RESET(false, false),
     CANCELLED(false, false),
+    /** It answered with what cannot be read, or with another request's answer. */
+    SPOILT(false, true),
     MOOT(true, false),
     NOT_STORED(true, true);
 
--- a/src/main/java/beamspread/node/ClientHandler.java
+++ b/src/main/java/beamspread/node/ClientHandler.java
@@ -1,36 +1,58 @@
 package beamspread.node;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.channel.Channel;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
+import java.io.IOException;
 import java.util.ArrayDeque;
 
 /** A client's connection: takes its commands and gives the answers in their order. */
 final class ClientHandler extends ChannelInboundHandlerAdapter {
   /**
-   * Answers that one connection may be owed before no more is read from it. Guards against a client
-   * that sends commands and reads no answers.
+   * Requests that one connection may have open: as many as a cache server takes on one. Guards
+   * against a client that sends more than it waits for; what goes beyond is refused, truthfully.
    */
-  private static final int MAX_OWED = 64;
+  private static final int MAX_OPEN = 32;
 
-  /** How long a command may take to come; the protocol grants a client 2 s. */
-  private static final long MAX_COMMAND_NANOS = 5_000_000_000L;
+  /** Answers that one connection may be owed before no more is read from it. */
+  private static final int MAX_OWED = 256;
 
-  /** How long a client may read nothing of what waits for it. */
-  private static final long MAX_STALL_NANOS = 10_000_000_000L;
+  /**
+   * Commands in a row that make no sense before the client is turned away. Guards against a peer
+   * that speaks another language at full speed; a client with a bug in some requests stays.
+   */
+  private static final int MAX_STRIKES = 16;
 
   private final Dispatcher dispatcher;
   private final ClientConnections connections;
   private final MetaCommand.Decoder decoder;
   private final ArrayDeque<Slot> slots = new ArrayDeque<>();
-  private Channel channel;
+  private SocketChannel channel;
+
+  /** Since when it is as it is now: fresh, idle, busy or lingering. */
+  private long since = System.nanoTime();
+
   private long midwaySince;
   private long stalledSince;
+  private int strikes;
+
+  /** Whether it has asked for anything yet. */
+  private boolean spoke;
+
+  /** Whether a drain has ended the reading. */
+  private boolean stopped;
+
+  /** Whether no more commands are taken: the last answer is given or waits for those before it. */
   private boolean closing;
 
+  /** Whether all is written, and only the client's end is waited for. */
+  private boolean lingering;
+
   ClientHandler(Dispatcher dispatcher, ClientConnections connections, MetaCommand.Decoder decoder) {
     this.dispatcher = dispatcher;
     this.connections = connections;
@@ -41,126 +63,108 @@
   final class Slot {
     private OpenRequest request;
 
-    /** Bytes that wait for the answers before them, null if there are none. */
+    /** The answer, while it waits for those before it. */
     private ByteBuf waiting;
 
-    /** Where the rest of a long value comes from, null for an answer that is given whole. */
-    private ServerConnection source;
-
-    private boolean whole;
     private boolean last;
 
-    /** Gives a line as the whole answer. */
+    ByteBufAllocator alloc() {
+      return channel.alloc();
+    }
+
+    /** Gives a line as the answer. */
     void line(String text) {
       ByteBuf line = channel.alloc().buffer(text.length() + 2);
       ByteBufUtil.writeAscii(line, text);
-      whole(line.writeShort(0x0D0A));
-    }
-
-    /** Gives the whole answer. */
-    void whole(ByteBuf bytes) {
-      whole = true;
-      add(bytes);
-    }
-
-    /** Begins a long value, whose rest comes from a server's connection. */
-    void begin(ByteBuf bytes, ServerConnection from) {
-      source = from;
-      add(bytes);
-    }
-
-    /** Goes on with a long value. */
-    void piece(ByteBuf bytes, boolean end) {
-      whole = end;
-      add(bytes);
+      answer(line.writeShort(0x0D0A));
     }
 
-    private void add(ByteBuf bytes) {
-      if (closing || !channel.isActive()) {
+    /** Gives the answer. */
+    void answer(ByteBuf bytes) {
+      if (!channel.isActive() || waiting != null || !slots.contains(this)) {
         bytes.release();
         return;
       }
+      waiting = bytes;
       if (slots.peek() == this) {
-        channel.write(bytes, channel.voidPromise());
-        if (whole) {
-          slots.poll();
-          advance();
-        } else if (!channel.isWritable()) {
-          source.pause();
-        }
-        channel.flush();
-      } else {
-        waiting =
-            waiting == null
-                ? bytes
-                : channel.alloc().compositeBuffer(1 << 10).addComponents(true, waiting, bytes);
-        if (source != null) {
-          source.pause();
-        }
+        advance();
       }
     }
-
-    /** The rest of a value that was begun never comes: only the connection's end can tell that. */
-    void cutOff() {
-      if (slots.peek() == this) {
-        channel.close();
-        return;
-      }
-      // None of it has gone out: a failure can still be told in its place.
-      source = null;
-      if (waiting != null) {
-        waiting.release();
-        waiting = null;
-      }
-      line("SERVER_ERROR failed");
-    }
   }
 
-  /** Writes what waited for the answer that has just been given. */
+  /** Writes the answers whose turn it is. */
   private void advance() {
-    for (Slot slot = slots.peek(); slot != null; slot = slots.peek()) {
-      if (slot.waiting != null) {
-        channel.write(slot.waiting, channel.voidPromise());
-        slot.waiting = null;
-      }
-      if (!slot.whole) {
-        if (slot.source != null && channel.isWritable()) {
-          slot.source.resume();
-        }
-        break;
-      }
+    for (Slot slot = slots.peek(); slot != null && slot.waiting != null; slot = slots.peek()) {
       slots.poll();
+      channel.write(slot.waiting, channel.voidPromise());
+      slot.waiting = null;
       if (slot.last) {
-        closing = true;
-        channel
-            .writeAndFlush(channel.alloc().buffer(0, 0))
-            .addListener(ChannelFutureListener.CLOSE);
+        linger();
       }
     }
+    channel.flush();
     steer();
-    if (slots.isEmpty()) {
+    rest();
+  }
+
+  /** Between requests the connection is idle. */
+  private void rest() {
+    if (slots.isEmpty() && !decoder.midway() && !closing) {
+      since = System.nanoTime();
       connections.idle(this);
     }
   }
 
-  /** Reads on while the client reads its answers and is not owed too many. */
+  /**
+   * Ends the sending side after what is written, and lets the client read it: a close while it
+   * still sends would reset the connection and destroy the line that tells why. What it sends is
+   * dropped unread by the decoder, up to a bound; then the socket's own buffer holds it up.
+   */
+  private void linger() {
+    if (lingering) {
+      return;
+    }
+    closing = true;
+    lingering = true;
+    since = System.nanoTime();
+    connections.lingers(this);
+    channel
+        .writeAndFlush(Unpooled.EMPTY_BUFFER)
+        .addListener(
+            written -> {
+              if (written.isSuccess()) {
+                channel.shutdownOutput();
+              } else {
+                channel.close();
+              }
+            });
+  }
+
+  /** Reads on only while the client takes its answers and is not owed too many. */
   private void steer() {
-    channel.config().setAutoRead(channel.isWritable() && slots.size() < MAX_OWED);
+    boolean taken = lingering ? decoder.mayDiscard() : channel.isWritable();
+    channel.config().setAutoRead(taken && slots.size() < MAX_OWED && !stopped);
   }
 
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
-    channel = ctx.channel();
+    channel = (SocketChannel) ctx.channel();
   }
 
   @Override
   public void channelActive(ChannelHandlerContext ctx) {
-    connections.opened(this);
+    if (!connections.opened(this)) {
+      turnAway("SERVER_ERROR busy");
+    } else if (connections.draining()) {
+      drain();
+    }
   }
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     MetaCommand command = (MetaCommand) message;
+    midwaySince = 0;
+    spoke = true;
     if (closing) {
       command.release();
       return;
@@ -168,42 +172,49 @@
     connections.busy(this);
     Slot slot = new Slot();
     slots.add(slot);
-    if (command.reply != null) {
-      slot.last = command.lost;
-      closeAfterward(slot, command);
-    } else {
+    if (command.reply == null && slots.size() <= MAX_OPEN) {
+      strikes = 0;
       slot.request = dispatcher.request(command, slot);
+      return;
     }
-    if (slots.size() >= MAX_OWED) {
-      steer();
-    }
+    boolean wrong = command.reply != null && !command.reply.equals("MN");
+    strikes = wrong ? strikes + 1 : 0;
+    command.release();
+    end(slot, command.reply, command.lost || strikes >= MAX_STRIKES);
   }
 
-  private void closeAfterward(Slot slot, MetaCommand command) {
-    slot.line(command.reply);
-    if (slot.last && !slots.contains(slot) && !closing) {
-      closing = true;
-      channel.writeAndFlush(channel.alloc().buffer(0, 0)).addListener(ChannelFutureListener.CLOSE);
+  private void end(Slot slot, String reply, boolean last) {
+    slot.last = last;
+    closing |= last;
+    if (last) {
+      decoder.giveUp();
     }
+    slot.line(reply == null ? "SERVER_ERROR busy" : reply);
+  }
+
+  /** Gives a last line, behind the answers that are owed, and then ends the connection. */
+  private void turnAway(String why) {
+    Slot slot = new Slot();
+    slots.add(slot);
+    connections.busy(this);
+    end(slot, why, true);
   }
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
-    midwaySince = !decoder.midway() ? 0 : midwaySince == 0 ? System.nanoTime() : midwaySince;
-    if (midwaySince != 0) {
+    if (decoder.midway()) {
+      midwaySince = midwaySince == 0 ? System.nanoTime() : midwaySince;
       connections.busy(this);
-    } else if (slots.isEmpty()) {
-      connections.idle(this);
     }
+    if (connections.draining()) {
+      drain();
+    }
+    steer();
   }
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
     stalledSince = channel.isWritable() ? 0 : System.nanoTime();
-    Slot head = slots.peek();
-    if (head != null && head.source != null && channel.isWritable()) {
-      head.source.resume();
-    }
     steer();
   }
 
@@ -222,29 +233,72 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    if (!(cause instanceof java.io.IOException)) {
+    if (!(cause instanceof IOException)) {
       dispatcher.report("client connection", cause);
     }
     ctx.close();
   }
 
-  /** Whether nothing is owed and no command has begun. */
-  boolean isIdle() {
-    return slots.isEmpty() && !decoder.midway();
+  long since() {
+    return since;
   }
 
-  void close() {
+  /** Closes at once: nothing is owed here. */
+  void drop() {
     channel.close();
   }
 
+  /** Closes as soon as all answers are written. */
+  void closeWhenWritten() {
+    closing = true;
+    stopped = true;
+    since = System.nanoTime();
+    steer();
+    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+  }
+
   /**
-   * Closes the connection of a client that stopped halfway through a command, or that has long read
-   * nothing: either would hold memory and a descriptor for good.
+   * Takes nothing new: closes now, or when what it has asked for is answered. What the client sends
+   * from here on stays unread, so that it learns by the reset that it may ask elsewhere.
    */
-  void closeIfStuck(long now) {
-    if ((midwaySince != 0 && now - midwaySince > MAX_COMMAND_NANOS)
-        || (stalledSince != 0 && now - stalledSince > MAX_STALL_NANOS)) {
+  void drain() {
+    if (lingering || closing) {
+      return;
+    }
+    if (slots.isEmpty() && !decoder.midway()) {
+      connections.busy(this);
+      closeWhenWritten();
+    } else {
+      stopped = !decoder.midway();
+      steer();
+    }
+  }
+
+  /**
+   * Ends a connection that stands for nothing: silent, idle, stopped halfway through a command,
+   * reading nothing, or turned away. Each would hold memory and a descriptor for good.
+   */
+  void sweep(long now) {
+    ClientConnections.Limits limits = connections.limits();
+    if (stalledSince != 0 && now - stalledSince > limits.stallNanos()) {
       channel.close();
+    } else if (lingering) {
+      if (now - since > limits.lingerNanos()) {
+        channel.close();
+      }
+    } else if (closing) {
+      // What is owed still has a deadline; what is written and not taken has none.
+      if (slots.isEmpty() && now - since > limits.stallNanos()) {
+        channel.close();
+      }
+    } else if (midwaySince != 0) {
+      if (now - midwaySince > limits.commandNanos() || connections.draining()) {
+        turnAway("CLIENT_ERROR command not finished");
+      }
+    } else if (slots.isEmpty()
+        && now - since > (spoke ? limits.idleNanos() : limits.commandNanos())) {
+      connections.busy(this);
+      closeWhenWritten();
     }
   }
 }
--- a/src/main/java/beamspread/node/DiscoveryClient.java
+++ b/src/main/java/beamspread/node/DiscoveryClient.java
@@ -46,10 +46,17 @@
   private static final int MAX_LINE = 4 << 20;
 
   private final EventLoop loop;
-  private final InetSocketAddress address;
   private final boolean asked;
   private final Dispatcher dispatcher;
+  private InetSocketAddress address;
   private long version;
+
+  /**
+   * Whether the version may not be counted from, so that the whole list is asked for: after a move,
+   * since two services need not number alike, and after nonsense.
+   */
+  private boolean anew;
+
   private Call watch;
 
   DiscoveryClient(
@@ -71,6 +78,13 @@
     watch = new Call(true);
   }
 
+  /** Follows the service at another address from now on; until it answers, the list stays. */
+  void move(InetSocketAddress to) {
+    address = to;
+    anew = true;
+    follow();
+  }
+
   /** Stops following. */
   void stop() {
     if (watch != null) {
@@ -106,6 +120,8 @@
   private final class Call extends SimpleChannelInboundHandler<HttpObject> {
     private final boolean follows;
     private final ByteBuf line = Unpooled.buffer();
+    private final InetSocketAddress peer = address;
+    private final boolean whole = anew;
     private final Channel channel;
     private long heardAt = System.nanoTime();
     private boolean over;
@@ -124,7 +140,7 @@
                       ch.pipeline().addLast(new HttpClientCodec(), Call.this);
                     }
                   });
-      var connected = bootstrap.connect(address);
+      var connected = bootstrap.connect(peer);
       channel = connected.channel();
       connected.addListener(
           done -> {
@@ -138,15 +154,13 @@
     }
 
     private void ask() {
-      String path = follows ? PATH + "?follow=1&since=" + version : PATH;
+      String path = !follows ? PATH : PATH + "?follow=1" + (whole ? "" : "&since=" + version);
       var request =
           new DefaultFullHttpRequest(
               HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
       request
           .headers()
-          .set(
-              HttpHeaderNames.HOST,
-              address.getAddress().getHostAddress() + ":" + address.getPort());
+          .set(HttpHeaderNames.HOST, peer.getAddress().getHostAddress() + ":" + peer.getPort());
       channel.writeAndFlush(request);
     }
 
@@ -213,8 +227,20 @@
     private void list(ByteBuf text) throws WireException {
       String json = text.toString(StandardCharsets.UTF_8);
       if (!json.isBlank()) {
-        MemberList list = MemberList.parse(Message.parse(json));
+        MemberList list;
+        try {
+          list = MemberList.parse(Message.parse(json));
+        } catch (WireException e) {
+          anew = true;
+          throw e;
+        }
         version = list.version();
+        if (list.full()) {
+          anew = false;
+        } else if (whole && anew) {
+          // It tells changes although it was asked for all: what it leaves out may have gone.
+          readOnce();
+        }
         dispatcher.list(list);
       }
     }
--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -11,7 +11,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -48,11 +47,16 @@
   private final Map<String, OpenRequest> open = new HashMap<>();
   private final ArrayDeque<Event> events = new ArrayDeque<>();
   private final Set<String> refusedCalls = new HashSet<>();
+  private final long longestDeadlineNanos;
+  private NodeConfig config;
   private boolean telling;
   private boolean rescuing;
+  private long rescueUntil;
 
   Dispatcher(NodeConfig config, EventLoop loop, ServerPools pools, Log log) {
     this.loop = loop;
+    this.config = config;
+    this.longestDeadlineNanos = (long) (config.longestDeadline() * 1e9);
     this.settings = config.settings();
     this.log = log;
     this.pools = pools;
@@ -71,6 +75,24 @@
     }
   }
 
+  /**
+   * Takes over what may change while the node runs: where discovery is. What the module was built
+   * from stays as it is until the next start, since it holds promises made by the old figures.
+   */
+  void reload(NodeConfig changed) {
+    if (!changed.discovery().equals(config.discovery())) {
+      log.line("discovery moves to " + changed.discovery());
+      discovery.move(changed.discovery());
+    }
+    if (!changed.settings().equals(config.settings())
+        || !changed.listen().equals(config.listen())
+        || changed.sockets() != config.sockets()
+        || changed.memoryMb() != config.memoryMb()) {
+      log.line("new settings, limits or listening address: taken over at the next start");
+    }
+    config = changed;
+  }
+
   /**
    * Tells the module of an event, and then of those that its own actions cause: the module is never
    * called from within one of its calls.
@@ -96,29 +118,27 @@
   }
 
   /**
-   * Guards against an exception in the module that makes it forget a request: until all that was
-   * open then is over, what the module has not answered in time is answered here.
+   * Guards against an exception in the module that makes it forget a request: for as long as one
+   * that was open then can last, what the module has not answered in time is answered here.
    */
   private void rescue() {
+    rescueUntil = System.nanoTime() + longestDeadlineNanos + 1_000_000_000L;
     if (!rescuing) {
       rescuing = true;
-      List<OpenRequest> doubtful = new ArrayList<>(open.values());
-      loop.schedule(() -> rescue(doubtful), RESCUE_MILLIS, TimeUnit.MILLISECONDS);
+      loop.schedule(this::rescueOverdue, RESCUE_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 
-  private void rescue(List<OpenRequest> doubtful) {
+  private void rescueOverdue() {
     long now = System.nanoTime();
-    for (OpenRequest request : doubtful) {
-      if (!request.ended && !request.streaming && now - request.deadlineNanos > 0) {
+    for (OpenRequest request : List.copyOf(open.values())) {
+      if (now - request.deadlineNanos > 0) {
         end(request, "SERVER_ERROR failed");
       }
     }
-    doubtful.removeIf(request -> request.ended);
-    if (doubtful.isEmpty()) {
-      rescuing = false;
-    } else {
-      loop.schedule(() -> rescue(doubtful), RESCUE_MILLIS, TimeUnit.MILLISECONDS);
+    rescuing = now - rescueUntil < 0;
+    if (rescuing) {
+      loop.schedule(this::rescueOverdue, RESCUE_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 
@@ -135,7 +155,9 @@
       slot.line("CLIENT_ERROR id in use");
       return null;
     }
-    OpenRequest request = new OpenRequest(command, slot, System.nanoTime());
+    // Longer than the longest deadline no client waits, and no restart.
+    long wait = Math.min(longestDeadlineNanos, (long) (command.request.budget() * 1e9));
+    OpenRequest request = new OpenRequest(command, slot, System.nanoTime() + wait);
     open.put(request.id(), request);
     tell(
         now -> {
@@ -155,15 +177,13 @@
       return;
     }
     request.ended = true;
-    if (request.streaming) {
-      for (Attempt attempt : List.copyOf(request.attempts)) {
-        withdraw(attempt, Outcome.Result.CANCELLED);
-      }
-    }
     tell(
         now -> {
-          balancer.clientGone(now, request.id());
-          settle(request);
+          try {
+            balancer.clientGone(now, request.id());
+          } finally {
+            settle(request);
+          }
         });
   }
 
@@ -184,12 +204,6 @@
     }
     OpenRequest request = attempt.request;
     double elapsed = (System.nanoTime() - attempt.sentAt) / 1e9;
-    if (request.streaming && !request.ended) {
-      request.ended = true;
-      if (result != Outcome.Result.OK) {
-        request.slot.cutOff();
-      }
-    }
     tell(
         now -> {
           request.out--;
@@ -211,44 +225,27 @@
         });
   }
 
-  /** A reply has come, whole but for a long value's rest. */
-  void replied(Attempt attempt, MetaReply reply, ServerConnection from) {
+  /** A reply has come; it is dropped where the module has been told another end. */
+  void replied(Attempt attempt, MetaReply reply) {
     OpenRequest request = attempt.request;
-    if (reply.result() == Outcome.Result.OK && !request.ended && !request.streaming) {
-      if (reply.streamed()) {
-        request.streaming = true;
-        attempt.timeout.cancel(false);
-        request.slot.begin(head(from.alloc(), reply, false), from);
-        tell(now -> balancer.streamStarted(now, request.id(), attempt.number));
-        return;
-      }
+    if (reply.result() == Outcome.Result.OK && !request.ended && !attempt.over) {
       request.ended = true;
-      request.slot.whole(head(from.alloc(), reply, true));
+      request.slot.answer(answer(request.slot.alloc(), reply));
     }
     ended(attempt, reply.result(), reply.note(), reply.load());
   }
 
-  /** A long value goes on, or ends. */
-  void piece(Attempt attempt, ByteBuf bytes, MetaReply reply, boolean end) {
-    attempt.request.slot.piece(bytes.retain(), end);
-    if (end) {
-      ended(attempt, Outcome.Result.OK, reply.note(), reply.load());
-    }
-  }
-
-  private static ByteBuf head(ByteBufAllocator allocator, MetaReply reply, boolean whole) {
-    int size = whole && reply.value() != null ? reply.value().readableBytes() : 0;
+  private static ByteBuf answer(ByteBufAllocator allocator, MetaReply reply) {
+    int size = reply.value() == null ? 0 : reply.value().readableBytes();
     ByteBuf bytes = allocator.buffer(reply.id().length() + 48 + size);
-    if (reply.length() < 0) {
+    if (reply.value() == null) {
       ByteBufUtil.writeAscii(bytes, "HD O");
       ByteBufUtil.writeAscii(bytes, reply.id());
-      if (reply.receipt() != null) {
-        ByteBufUtil.writeAscii(bytes, " c");
-        ByteBufUtil.writeAscii(bytes, reply.receipt());
-      }
+      ByteBufUtil.writeAscii(bytes, " c");
+      ByteBufUtil.writeAscii(bytes, reply.receipt());
     } else {
       ByteBufUtil.writeAscii(bytes, "VA ");
-      ByteBufUtil.writeAscii(bytes, Integer.toString(reply.length()));
+      ByteBufUtil.writeAscii(bytes, Integer.toString(size - 2));
       ByteBufUtil.writeAscii(bytes, " O");
       ByteBufUtil.writeAscii(bytes, reply.id());
     }
@@ -293,10 +290,7 @@
     Attempt attempt = new Attempt(request, request.attempts.size(), server, deadline);
     request.attempts.add(attempt);
     request.out++;
-    if (request.ended
-        || request.streaming
-        || attempt.number >= settings.limits().maxAttempts()
-        || latest - now <= 0) {
+    if (request.ended || attempt.number >= settings.limits().maxAttempts() || latest - now <= 0) {
       ended(attempt, Outcome.Result.MOOT);
       return;
     }
@@ -321,7 +315,7 @@
   @Override
   public void cancel(String requestId, int number) {
     OpenRequest request = open.get(requestId);
-    if (request != null && number < request.attempts.size() && !request.streaming) {
+    if (request != null && number < request.attempts.size()) {
       withdraw(request.attempts.get(number), Outcome.Result.CANCELLED);
     }
   }
@@ -338,7 +332,7 @@
   }
 
   private void end(OpenRequest request, String answer) {
-    if (request != null && !request.ended && !request.streaming) {
+    if (request != null && !request.ended) {
       request.ended = true;
       request.slot.line(answer);
       settle(request);
--- a/src/main/java/beamspread/node/Log.java
+++ b/src/main/java/beamspread/node/Log.java
@@ -7,7 +7,7 @@
   private long second;
   private int lines;
 
-  void line(String text) {
+  synchronized void line(String text) {
     long now = System.nanoTime() / 1_000_000_000L;
     if (now != second) {
       second = now;
--- a/src/main/java/beamspread/node/MemberList.java
+++ b/src/main/java/beamspread/node/MemberList.java
@@ -31,7 +31,7 @@
 
   static MemberList parse(Message list) throws WireException {
     List<Member> members = new ArrayList<>();
-    for (Message line : list.objects("servers")) {
+    for (Message line : list.requiredObjects("servers")) {
       ServerEntry.State state =
           switch (line.requiredText("state")) {
             case "active" -> ServerEntry.State.READY;
--- a/src/main/java/beamspread/node/MetaCommand.java
+++ b/src/main/java/beamspread/node/MetaCommand.java
@@ -1,12 +1,15 @@
 package beamspread.node;
 
 import beamspread.model.Request;
+import beamspread.model.Settings;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * A command as a client sent it. A write keeps its value until the request has ended, for a second
@@ -18,6 +21,9 @@
 
   private static final int MAX_ID = 64;
 
+  /** Bytes dropped from a client that was turned away, before its sending is held up. */
+  private static final int MAX_DISCARDED = 1 << 18;
+
   /** Longest deadline in milliseconds that is believed: an hour. */
   private static final int MAX_DEADLINE = 3_600_000;
 
@@ -78,31 +84,51 @@
     }
   }
 
-  /** Reads commands off a client's connection, however its bytes are cut. */
+  /**
+   * Reads commands off a client's connection, however its bytes are cut. Guards the cache servers
+   * against what they cannot read: they close a connection on it, with all that others wait for
+   * there. So only the protocol's own form goes on, and classes that the settings name. It could do
+   * harm where clients are given new flags: this reader must learn them first.
+   */
   static final class Decoder extends ByteToMessageDecoder {
     private static final MetaCommand HELLO = new MetaCommand("MN", false);
     private static final MetaCommand UNKNOWN = new MetaCommand("ERROR", false);
 
     private final MemoryBudget budget;
+    private final Map<String, Settings.ServiceClass> classes = new HashMap<>();
 
     /** The write whose value is being read, and how many bytes with its CRLF are still to come. */
     private MetaCommand write;
 
     private int missing;
     private boolean lost;
+    private int discarded;
 
-    Decoder(MemoryBudget budget) {
+    Decoder(MemoryBudget budget, List<Settings.ServiceClass> services) {
       this.budget = budget;
+      services.forEach(service -> classes.put(service.name(), service));
     }
 
     /** Whether a command has begun and not ended. */
     boolean midway() {
-      return write != null || actualReadableBytes() > 0;
+      return !lost && (write != null || actualReadableBytes() > 0);
+    }
+
+    /** Reads no more commands: what comes is dropped. */
+    void giveUp() {
+      lost = true;
+      dropWrite();
+    }
+
+    /** Whether more may be dropped: a flood is better left in the socket. */
+    boolean mayDiscard() {
+      return discarded < MAX_DISCARDED;
     }
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
       if (lost) {
+        discarded = Math.min(MAX_DISCARDED, discarded + in.readableBytes());
         in.skipBytes(in.readableBytes());
         return;
       }
@@ -119,8 +145,7 @@
           }
         }
       } catch (MetaLine.MalformedException e) {
-        dropWrite();
-        lost = true;
+        giveUp();
         out.add(new MetaCommand("CLIENT_ERROR " + e.getMessage(), true));
       }
     }
@@ -156,11 +181,11 @@
       if (!sets && !line.is("mg")) {
         return UNKNOWN;
       }
-      String wrong = null;
+      String wrong = line.isEvenlySpaced() ? null : "bad spacing";
       String key = null;
       if (line.next() && line.end() - line.start() <= MAX_KEY && visible(line)) {
         key = line.word(0);
-      } else {
+      } else if (wrong == null) {
         wrong = "bad key";
       }
       int length = 0;
@@ -192,6 +217,9 @@
 
     private MetaCommand flags(MetaLine line, String key, boolean sets, String wrong) {
       String id = null;
+      String idempotencyKey = null;
+      boolean value = false;
+      boolean parameters = false;
       int deadlineStart = 0;
       int deadlineEnd = 0;
       int deadline = -1;
@@ -203,9 +231,14 @@
       while (line.next()) {
         if (!visible(line)) {
           wrong = "bad flag";
-        } else if (line.flag() == 'O') {
-          id = line.end() - line.start() - 1 <= MAX_ID ? line.word(1) : null;
-        } else if (line.flag() == 'P') {
+        } else if (line.flag() == 'O' && id == null) {
+          id = line.end() - line.start() - 1 <= MAX_ID ? line.word(1) : "";
+        } else if (line.is("v") && !sets) {
+          value = true;
+        } else if (line.flag() != 'P' || parameters) {
+          wrong = "bad flag";
+        } else {
+          parameters = true;
           int from = line.start() + 1;
           while (from < line.end()) {
             int to = from;
@@ -216,18 +249,23 @@
             while (equals < to && line.bytes[equals] != '=') {
               equals++;
             }
-            int value = Math.min(equals + 1, to);
+            int start = Math.min(equals + 1, to);
+            if (equals == from || start == to) {
+              wrong = "bad parameter";
+            }
             switch (line.text(from, equals)) {
-              case "c" -> serviceClass = line.text(value, to);
-              case "t" -> tenant = line.text(value, to);
+              case "c" -> serviceClass = line.text(start, to);
+              case "t" -> tenant = line.text(start, to);
+              case "k" -> idempotencyKey = line.text(start, to);
               case "d" -> {
-                deadlineStart = value;
+                wrong = deadlineEnd > 0 ? "two deadlines" : wrong;
+                deadlineStart = start;
                 deadlineEnd = to;
-                deadline = line.number(value, to);
+                deadline = line.number(start, to);
               }
-              case "r" -> repeat = line.number(value, to) == 1;
-              case "h" -> work = Math.max(0, line.number(value, to)) / 1e6;
-              case "size" -> size = Math.max(0, line.number(value, to));
+              case "r" -> repeat = line.number(start, to) == 1;
+              case "h" -> work = Math.max(0, line.number(start, to)) / 1e6;
+              case "size" -> size = Math.max(0, line.number(start, to));
               default -> {
                 // Meant for the cache server, which gets all of them as they are.
               }
@@ -236,12 +274,20 @@
           }
         }
       }
+      Settings.ServiceClass type = classes.get(serviceClass);
       if (wrong == null && (id == null || id.isEmpty())) {
         wrong = "bad or missing id";
-      } else if (wrong == null && (serviceClass == null || serviceClass.isEmpty())) {
-        wrong = "bad or missing class";
+      } else if (wrong == null && type == null) {
+        wrong = "unknown or missing class";
       } else if (wrong == null && (deadline <= 0 || deadline > MAX_DEADLINE)) {
         wrong = "bad or missing deadline";
+      } else if (wrong == null && !sets && !value) {
+        wrong = "a read asks for no value";
+      } else if (wrong == null
+          && sets
+          && idempotencyKey == null
+          && type.effect() == Settings.Effect.KEYED) {
+        wrong = "a keyed write without its key";
       }
       if (wrong != null) {
         return new MetaCommand("CLIENT_ERROR " + wrong, false);
--- a/src/main/java/beamspread/node/MetaLine.java
+++ b/src/main/java/beamspread/node/MetaLine.java
@@ -8,8 +8,8 @@
   /** Longest line taken, well above a key of 250 bytes with its flags. */
   static final int MAX_LENGTH = 2048;
 
-  /** Longest value taken or passed on. */
-  static final int MAX_VALUE = 4 << 20;
+  /** Longest value taken or passed on: the protocol's. */
+  static final int MAX_VALUE = 1 << 16;
 
   final byte[] bytes;
   private int position;
@@ -48,6 +48,16 @@
     return position > wordStart;
   }
 
+  /** Whether its words stand one space apart, and nothing else does. */
+  boolean isEvenlySpaced() {
+    for (int i = 0; i < bytes.length; i++) {
+      if (bytes[i] == ' ' && (i == 0 || i == bytes.length - 1 || bytes[i + 1] == ' ')) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   int start() {
     return wordStart;
   }
@@ -98,10 +108,10 @@
     return number;
   }
 
-  /** Whether all bytes between two places can be seen: what a key and an id are made of. */
+  /** Whether all bytes between two places are printable ASCII, as in a key and an id. */
   boolean visible(int from, int to) {
     for (int i = from; i < to; i++) {
-      if (bytes[i] <= ' ' && bytes[i] >= 0 || bytes[i] == 0x7F) {
+      if (bytes[i] <= ' ' || bytes[i] == 0x7F) {
         return false;
       }
     }
--- a/src/main/java/beamspread/node/MetaReply.java
+++ b/src/main/java/beamspread/node/MetaReply.java
@@ -15,8 +15,7 @@
  * @param result the outcome that it stands for
  * @param id the request's id as the server repeats it, null where an error line has none
  * @param receipt a write's receipt, null for another reply
- * @param length the value's length, -1 where the reply has no value
- * @param value the value with its CRLF; null where there is none, or where it follows in pieces
+ * @param value the value with its CRLF; null where there is none
  * @param note what it says of the server's cache
  * @param load the server's load report, null if none came along
  */
@@ -24,85 +23,75 @@
     Outcome.Result result,
     String id,
     String receipt,
-    int length,
     ByteBuf value,
     Outcome.Note note,
     LoadReport load) {
 
-  /** Longest value that is gathered whole; a longer one is passed on as it comes. */
-  static final int MAX_GATHERED = 1 << 16;
+  /** Whether it can be the answer to this command: a value for a read, a receipt for a write. */
+  boolean answers(MetaCommand command) {
+    return result != Outcome.Result.OK
+        ? id == null || id.equals(command.request.id())
+        : id.equals(command.request.id())
+            && (command.request.write() ? receipt != null : value != null);
+  }
 
-  /** Whether the value follows in pieces. */
-  boolean streamed() {
-    return length > MAX_GATHERED;
+  void release() {
+    if (value != null) {
+      value.release();
+    }
   }
 
-  /** Reads replies off a cache server's connection; a long value follows its reply in pieces. */
+  /** Reads replies off a cache server's connection. */
   static final class Decoder extends ByteToMessageDecoder {
+    /** The reply whose value is being read, and the value's length. */
     private MetaReply head;
 
-    /** Bytes of a long value and its CRLF that are still to come. */
-    private int missing;
+    private int length;
+    private boolean lost;
+
+    /** Whether a reply has begun and not ended. */
+    boolean midway() {
+      return head != null || actualReadableBytes() > 0;
+    }
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+      if (lost) {
+        in.skipBytes(in.readableBytes());
+        return;
+      }
       try {
-        if (missing > 0) {
-          readPiece(in, out);
-          return;
-        }
         if (head == null) {
           MetaLine line = MetaLine.read(in);
           if (line == null) {
             return;
           }
           head = parse(line);
-          if (head.streamed()) {
-            missing = head.length + 2;
-          }
         }
-        if (head.length < 0 || head.streamed()) {
+        if (length < 0) {
           out.add(head);
           head = null;
-        } else if (in.readableBytes() >= head.length + 2) {
-          int end = in.readerIndex() + head.length;
+        } else if (in.readableBytes() >= length + 2) {
+          int end = in.readerIndex() + length;
           if (in.getByte(end) != '\r' || in.getByte(end + 1) != '\n') {
             throw new MetaLine.MalformedException("bad data chunk");
           }
-          out.add(
-              new MetaReply(
-                  head.result,
-                  head.id,
-                  null,
-                  head.length,
-                  in.readRetainedSlice(head.length + 2),
-                  head.note,
-                  head.load));
+          ByteBuf value = in.readRetainedSlice(length + 2);
+          out.add(new MetaReply(head.result, head.id, null, value, head.note, head.load));
           head = null;
         }
       } catch (MetaLine.MalformedException e) {
+        lost = true;
+        head = null;
         throw new DecoderException(e);
       }
     }
 
-    private void readPiece(ByteBuf in, List<Object> out) throws MetaLine.MalformedException {
-      // The CRLF is read as a whole, lest a value be called whole before its end was checked.
-      if (missing > 2) {
-        int bytes = Math.min(in.readableBytes(), missing - 2);
-        missing -= bytes;
-        out.add(in.readRetainedSlice(bytes));
-      } else if (in.readableBytes() >= 2) {
-        int start = in.readerIndex();
-        MetaLine.readEnd(in);
-        missing = 0;
-        out.add(in.retainedSlice(start, 2));
-      }
-    }
-
-    private static MetaReply parse(MetaLine line) throws MetaLine.MalformedException {
+    private MetaReply parse(MetaLine line) throws MetaLine.MalformedException {
       line.next();
       Outcome.Result result = Outcome.Result.OK;
-      int length = -1;
+      length = -1;
+      boolean stored = line.is("HD");
       if (line.is("VA")) {
         length = line.next() ? line.number(line.start(), line.end()) : -1;
         if (length < 0 || length > MetaLine.MAX_VALUE) {
@@ -110,16 +99,19 @@
         }
       } else if (line.is("SERVER_ERROR")) {
         result = line.next() && line.is("busy") ? Outcome.Result.FULL : Outcome.Result.ERROR;
-      } else if (!line.is("HD")) {
+      } else if (line.is("CLIENT_ERROR") || line.is("ERROR")) {
+        result = Outcome.Result.ERROR;
+      } else if (!stored) {
         throw new MetaLine.MalformedException("unknown reply");
       }
       String id = null;
       String receipt = null;
       Outcome.Note note = Outcome.Note.NONE;
       LoadReport load = null;
-      while (line.next()) {
+      // A load report ends the line: one that cannot be read must not be taken for flags.
+      while (load == null && line.next()) {
         switch (line.flag()) {
-          case 'O' -> id = line.word(1);
+          case 'O' -> id = id == null ? line.word(1) : id;
           case 'c' -> receipt = line.word(1);
           case 'h' -> note = line.is("h1") ? Outcome.Note.HIT : Outcome.Note.MISS;
           case 'Z' -> note = Outcome.Note.MISS_PENDING;
@@ -129,10 +121,10 @@
           }
         }
       }
-      if (result == Outcome.Result.OK && id == null) {
-        throw new MetaLine.MalformedException("reply without an id");
+      if (result == Outcome.Result.OK && (id == null || (stored && receipt == null))) {
+        throw new MetaLine.MalformedException("reply without an id or receipt");
       }
-      return new MetaReply(result, id, receipt, length, null, note, load);
+      return new MetaReply(result, id, receipt, null, note, load);
     }
 
     private static LoadReport load(String text) {
@@ -154,7 +146,8 @@
             };
         if (place >= 0) {
           try {
-            values[place] = Double.parseDouble(pair.substring(equals + 1));
+            double value = Double.parseDouble(pair.substring(equals + 1));
+            values[place] = value >= 0 && value < 1e12 ? value : Double.NaN;
           } catch (NumberFormatException e) {
             // A figure that cannot be read is one that was not reported.
           }
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -23,8 +23,20 @@
   /** New connections go on coming for so long after a planned restart has begun. */
   private static final long ACCEPT_MILLIS = 500;
 
-  /** Descriptors kept for files and pipes of the virtual machine, the selector and discovery. */
-  private static final int OWN_DESCRIPTORS = 48;
+  /**
+   * Descriptors kept for files and pipes of the virtual machine, the selector, discovery, and
+   * sockets that were closed and are not yet released.
+   */
+  private static final int OWN_DESCRIPTORS = 56;
+
+  /** The part of the other descriptors that connections to cache servers may take. */
+  private static final double SERVERS_PART = 0.4;
+
+  /** How often connections are looked through for those that have outlived their time. */
+  private static final long SWEEP_MILLIS = 100;
+
+  /** How long a reply of a cache server may be half here. */
+  private static final long STUCK_NANOS = 400_000_000L;
 
   /** Connections to one server, over all nodes together, that this tier opens of itself. */
   private static final int TIER_CONNECTIONS = 12;
@@ -32,21 +44,27 @@
   private final NodeConfig config;
   private final MultiThreadIoEventLoopGroup group;
   private final EventLoop loop;
-  private final ClientConnections clients = new ClientConnections();
+  private final PooledByteBufAllocator allocator;
+  private final ClientConnections clients;
   private final ServerPools pools;
   private final Dispatcher dispatcher;
   private final MemoryBudget values;
+  private final Log log = new Log();
   private final CountDownLatch drained = new CountDownLatch(1);
   private Channel listener;
 
   /** A node that is not listening yet. */
   Node(NodeConfig config) {
+    this(config, ClientConnections.Limits.usual(sockets(config) - serverSockets(config)));
+  }
+
+  Node(NodeConfig config, ClientConnections.Limits limits) {
     this.config = config;
+    clients = new ClientConnections(limits);
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     loop = group.next();
-    values = new MemoryBudget((long) config.memoryMb() << 18);
-    PooledByteBufAllocator allocator =
-        new PooledByteBufAllocator(true, 0, 1, 8192, 6, 64, 16, true);
+    values = new MemoryBudget((long) config.memoryMb() << 16);
+    allocator = new PooledByteBufAllocator(true, 0, 1, 8192, 6, 64, 16, true);
     Bootstrap bootstrap =
         new Bootstrap()
             .group(loop)
@@ -57,11 +75,16 @@
                 ChannelOption.CONNECT_TIMEOUT_MILLIS,
                 (int) Math.max(1, config.settings().limits().connectTimeout() * 1e3));
     pools = new ServerPools(bootstrap, serverLimits());
-    dispatcher = new Dispatcher(config, loop, pools, new Log());
-    this.allocator = allocator;
+    dispatcher = new Dispatcher(config, loop, pools, log);
   }
 
-  private final PooledByteBufAllocator allocator;
+  private static int sockets(NodeConfig config) {
+    return Math.max(32, config.sockets() - OWN_DESCRIPTORS);
+  }
+
+  private static int serverSockets(NodeConfig config) {
+    return (int) (SERVERS_PART * sockets(config));
+  }
 
   private ServerPool.Limits serverLimits() {
     var limits = config.settings().limits();
@@ -70,7 +93,9 @@
         // Where a request may not have two attempts out, one that is given up must be off its
         // connection before the next goes out: nothing may share it.
         limits.parallelAttempts() ? Math.max(1, limits.perConnection()) : 1,
-        (long) (Math.max(1, limits.idleTimeout() / 2) * 1e9));
+        serverSockets(config),
+        (long) (Math.max(1, limits.idleTimeout() / 2) * 1e9),
+        STUCK_NANOS);
   }
 
   /** Runs a node until it is told to end; returns the exit code. */
@@ -83,6 +108,9 @@
       return 2;
     }
     Node node = new Node(config);
+    if (!Hangup.handle(() -> node.reload(configFile))) {
+      node.log.line("SIGHUP cannot be handled here: no reload");
+    }
     try {
       node.start();
     } catch (IOException e) {
@@ -120,22 +148,37 @@
       throw new IOException(bound.cause().getMessage());
     }
     listener = bound.channel();
-    loop.scheduleAtFixedRate(this::sweep, 1, 1, TimeUnit.SECONDS);
+    loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     return (InetSocketAddress) listener.localAddress();
   }
 
   private void accept(Channel channel) {
-    if (clients.size() + OWN_DESCRIPTORS >= config.sockets()) {
-      clients.closeIdlest();
-    }
-    MetaCommand.Decoder decoder = new MetaCommand.Decoder(values);
+    MetaCommand.Decoder decoder = new MetaCommand.Decoder(values, config.settings().services());
     channel.pipeline().addLast(decoder, new ClientHandler(dispatcher, clients, decoder));
   }
 
   private void sweep() {
     long now = System.nanoTime();
-    clients.closeStuck(now);
-    pools.closeStale(now);
+    try {
+      clients.sweep(now);
+      pools.sweep(now);
+    } catch (RuntimeException e) {
+      // A task that throws is not run again, and then nothing would end what is stuck.
+      log.failure("sweep", e);
+    }
+  }
+
+  /**
+   * Reads the configuration again. A file that cannot be read, is only half there or makes no sense
+   * changes nothing: the node goes on as it was.
+   */
+  void reload(String configFile) {
+    try {
+      NodeConfig changed = NodeConfig.load(configFile);
+      loop.execute(() -> dispatcher.reload(changed));
+    } catch (WireException | RuntimeException e) {
+      log.line("the old configuration stays: " + e.getMessage());
+    }
   }
 
   /**
--- a/src/main/java/beamspread/node/NodeConfig.java
+++ b/src/main/java/beamspread/node/NodeConfig.java
@@ -37,7 +37,7 @@
     }
     try {
       return parse(Message.parse(Files.readString(Path.of(file))));
-    } catch (IOException | InvalidPathException e) {
+    } catch (IOException | InvalidPathException | SecurityException e) {
       throw new WireException("cannot read " + file);
     } catch (WireException e) {
       throw new WireException(file + ": " + e.getMessage());
--- a/src/main/java/beamspread/node/OpenRequest.java
+++ b/src/main/java/beamspread/node/OpenRequest.java
@@ -16,13 +16,10 @@
   /** Whether the final answer is given, or the client has gone. */
   boolean ended;
 
-  /** Whether a long value is under way to the client: there is no deadline any more. */
-  boolean streaming;
-
-  OpenRequest(MetaCommand command, ClientHandler.Slot slot, long now) {
+  OpenRequest(MetaCommand command, ClientHandler.Slot slot, long deadlineNanos) {
     this.command = command;
     this.slot = slot;
-    this.deadlineNanos = now + (long) (command.request.budget() * 1e9);
+    this.deadlineNanos = deadlineNanos;
   }
 
   String id() {
--- a/src/main/java/beamspread/node/ServerConnection.java
+++ b/src/main/java/beamspread/node/ServerConnection.java
@@ -2,8 +2,6 @@
 
 import beamspread.model.Outcome;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -12,46 +10,49 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
-import java.util.concurrent.TimeUnit;
 
 /**
  * One connection to a cache server. Answers come in the order of the commands; each is matched with
  * the attempt that waits longest.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
-  /**
-   * How long a long value may pause: a cache server that works pauses for 0.1 s at most, and a
-   * client that is kept waiting for over 2 s has lost it.
-   */
-  private static final long MAX_PAUSE_NANOS = 1_500_000_000L;
-
   private final ServerPool pool;
   private final Dispatcher dispatcher;
+  private final SocketAddress address;
+  private final MetaReply.Decoder decoder = new MetaReply.Decoder();
   private final ArrayDeque<Attempt> underWay = new ArrayDeque<>();
   private final long openedAt = System.nanoTime();
   private Channel channel;
   private long heardAt = openedAt;
   private long usedAt = openedAt;
 
+  /** Since when a reply has been half here, 0 if none is. */
+  private long midwaySince;
+
+  /** Whose answer came last: it may come a second time. */
+  private String answeredLast;
+
   /** Whether it gets nothing more and closes once nobody waits for what is under way. */
   private boolean retiring;
 
+  /** Whether what has come is still being read: more than an answer may be in it. */
+  private boolean reading;
+
+  /** Whether it was closed for what came on it. */
+  private boolean spoilt;
+
   /** Attempts under way that somebody still waits for. */
   private int awaited;
 
   private boolean closed;
 
-  /** The reply whose long value is coming, and how many bytes of it with its CRLF are to come. */
-  private MetaReply streaming;
-
-  private int missing;
-
-  ServerConnection(ServerPool pool, Dispatcher dispatcher) {
+  ServerConnection(ServerPool pool, Dispatcher dispatcher, SocketAddress address) {
     this.pool = pool;
     this.dispatcher = dispatcher;
+    this.address = address;
   }
 
-  ChannelFuture open(Bootstrap bootstrap, SocketAddress address) {
+  ChannelFuture open(Bootstrap bootstrap) {
     ChannelFuture future = bootstrap.clone().handler(this).connect(address);
     channel = future.channel();
     return future;
@@ -59,11 +60,11 @@
 
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
-    ctx.pipeline().addBefore(ctx.name(), null, new MetaReply.Decoder());
+    ctx.pipeline().addBefore(ctx.name(), null, decoder);
   }
 
-  ByteBufAllocator alloc() {
-    return channel.alloc();
+  SocketAddress address() {
+    return address;
   }
 
   long openedAt() {
@@ -78,9 +79,24 @@
     return usedAt;
   }
 
-  /** Attempts under way; more than any limit where nothing may be written any more. */
+  /** Attempts under way; more than any limit where nothing may be written now. */
   int load() {
-    return retiring || closed || streaming != null ? Integer.MAX_VALUE : underWay.size();
+    return unusable() || reading ? Integer.MAX_VALUE : underWay.size();
+  }
+
+  /** Whether nothing may ever be written here any more. */
+  boolean unusable() {
+    return retiring || closed || spoilt;
+  }
+
+  /** Whether it can be used as soon as all that has come is read. */
+  boolean isFreeSoon() {
+    return underWay.isEmpty() && reading && !unusable();
+  }
+
+  /** Whether nothing is under way here. */
+  boolean isIdle() {
+    return underWay.isEmpty() && !reading && !unusable();
   }
 
   /** Whether an attempt is better written here: fewer to wait for, or more lately in use. */
@@ -131,128 +147,108 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
+    reading = true;
     heardAt = System.nanoTime();
-    if (message instanceof ByteBuf piece) {
-      try {
-        piece(piece);
-      } finally {
-        piece.release();
-      }
-      return;
-    }
     MetaReply reply = (MetaReply) message;
     try {
       reply(reply);
     } finally {
-      if (reply.value() != null) {
-        reply.value().release();
-      }
+      reply.release();
     }
   }
 
   private void reply(MetaReply reply) {
-    Attempt head = underWay.peek();
-    if (closed) {
+    if (closed || spoilt) {
       return;
     }
-    if (head == null || (reply.id() != null && !reply.id().equals(head.request.id()))) {
-      // Guards against serving one request with another's answer: what follows cannot be trusted.
-      channel.close();
-      return;
-    }
-    if (reply.streamed()) {
-      streaming = reply;
-      missing = reply.length() + 2;
-      if (!head.over) {
-        dispatcher.replied(head, reply, this);
-        watchPauses();
-      }
+    Attempt head = underWay.peek();
+    if (reply.id() != null
+        && reply.id().equals(answeredLast)
+        && (head == null || !reply.answers(head.request.command))) {
+      // An answer that comes twice: the copy is dropped. What is under way may still be answered,
+      // but nothing more is trusted to a peer that has lost count.
+      retire();
       return;
     }
-    boolean waitedFor = !head.over;
-    dispatcher.replied(head, reply, this);
-    finish(waitedFor);
-  }
-
-  private void piece(ByteBuf bytes) {
-    if (closed || streaming == null) {
+    if (head == null || !reply.answers(head.request.command)) {
+      // Guards against serving one request with another's answer: what follows cannot be trusted.
+      spoil();
       return;
     }
-    Attempt head = underWay.peek();
-    missing -= bytes.readableBytes();
     boolean waitedFor = !head.over;
-    MetaReply reply = streaming;
-    if (missing == 0) {
-      streaming = null;
-    }
-    if (waitedFor) {
-      dispatcher.piece(head, bytes, reply, missing == 0);
-    }
-    if (missing == 0) {
-      finish(waitedFor);
-    }
-  }
-
-  /** The answer that was waited for longest has come whole. */
-  private void finish(boolean waitedFor) {
+    // Off the queue first, so that what the answer sets off finds the connection as it is.
     underWay.poll();
     if (waitedFor) {
       awaited--;
     }
-    usedAt = System.nanoTime();
+    answeredLast = head.request.id();
+    usedAt = heardAt;
+    dispatcher.replied(head, reply);
     if (retiring) {
       retire();
-    } else if (underWay.isEmpty() && !closed) {
-      pool.free(this);
     }
   }
 
-  /** Reads no more for now: the client does not take what has come. */
-  void pause() {
-    channel.config().setAutoRead(false);
-  }
-
-  void resume() {
-    if (!channel.config().isAutoRead()) {
+  /**
+   * All that had come is read. Guards against bytes behind a good answer: only now may the
+   * connection be used again, and not if anything is left that nobody has asked for.
+   */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    reading = false;
+    if (closed || spoilt) {
+      return;
+    }
+    boolean midway = decoder.midway();
+    midwaySince = !midway ? 0 : midwaySince == 0 ? System.nanoTime() : midwaySince;
+    if (midway) {
       heardAt = System.nanoTime();
-      channel.config().setAutoRead(true);
+      if (underWay.isEmpty()) {
+        spoil();
+      }
+    } else {
+      pool.free(this);
     }
   }
 
-  /** Guards against a server that vanishes within a long value, whose attempt has no time-out. */
-  private void watchPauses() {
-    MetaReply watched = streaming;
-    channel
-        .eventLoop()
-        .schedule(
-            () -> {
-              if (streaming != watched || closed) {
-                return;
-              }
-              if (channel.config().isAutoRead() && System.nanoTime() - heardAt > MAX_PAUSE_NANOS) {
-                channel.close();
-              } else {
-                watchPauses();
-              }
-            },
-            MAX_PAUSE_NANOS / 4,
-            TimeUnit.NANOSECONDS);
+  /**
+   * What came cannot be an answer, so that neither can what follows. The server runs and has
+   * perhaps carried out all that is under way here.
+   */
+  private void spoil() {
+    spoilt = true;
+    channel.close();
+  }
+
+  /**
+   * Guards against a reply that begins and does not end: a line without its CRLF, a length beyond
+   * the value, a machine that vanishes halfway. A cache server writes an answer in one go, so the
+   * limit is far above what a network needs; set too low, it would break slow but good answers.
+   */
+  void closeIfStuck(long now, long limit) {
+    if (midwaySince != 0 && now - midwaySince > limit && !closed) {
+      spoil();
+    }
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     closed = true;
+    Outcome.Result result = spoilt ? Outcome.Result.SPOILT : Outcome.Result.RESET;
     for (Attempt attempt = underWay.poll(); attempt != null; attempt = underWay.poll()) {
       // Only a command whose last byte was not handed to the socket has provably not run.
-      dispatcher.ended(
-          attempt, attempt.written ? Outcome.Result.RESET : Outcome.Result.CONNECT_FAILED);
+      dispatcher.ended(attempt, attempt.written ? result : Outcome.Result.CONNECT_FAILED);
     }
     pool.closed(this);
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    if (!(cause instanceof IOException || cause instanceof DecoderException)) {
+    if (cause instanceof DecoderException) {
+      spoil();
+      return;
+    }
+    if (!(cause instanceof IOException)) {
       dispatcher.report("server connection", cause);
     }
     ctx.close();
--- a/src/main/java/beamspread/node/ServerPool.java
+++ b/src/main/java/beamspread/node/ServerPool.java
@@ -19,12 +19,15 @@
    *
    * @param connections how many this node opens at most
    * @param depth how many attempts may be under way on one
+   * @param sockets how many may be open to all servers together
    * @param idleNanos how long one is kept that is not in use
+   * @param stuckNanos how long a reply may be half here
    */
-  record Limits(int connections, int depth, long idleNanos) {}
+  record Limits(int connections, int depth, int sockets, long idleNanos, long stuckNanos) {}
 
   private final Bootstrap bootstrap;
   private final Limits limits;
+  private final ServerPools pools;
   private final Dispatcher dispatcher;
   private final List<ServerConnection> connections = new ArrayList<>();
   private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
@@ -33,9 +36,20 @@
   private int cap;
   private long cappedAt;
 
-  ServerPool(Bootstrap bootstrap, Limits limits, Dispatcher dispatcher, InetSocketAddress address) {
+  /** When the process that the list tells of started; connections from before lead nowhere. */
+  private long started = Long.MIN_VALUE;
+
+  private boolean left;
+
+  ServerPool(
+      Bootstrap bootstrap,
+      Limits limits,
+      ServerPools pools,
+      Dispatcher dispatcher,
+      InetSocketAddress address) {
     this.bootstrap = bootstrap;
     this.limits = limits;
+    this.pools = pools;
     this.dispatcher = dispatcher;
     this.address = address;
     this.cap = limits.connections();
@@ -46,18 +60,26 @@
    * than the process, lead nowhere: they are not used again.
    */
   void listed(InetSocketAddress at, double startedAt, double now) {
-    boolean moved = !at.equals(address);
     address = at;
-    long started = System.nanoTime() - (long) (Math.max(0, now - startedAt) * 1e9);
+    if (startedAt > 0) {
+      started = System.nanoTime() - (long) (Math.max(0, now - startedAt) * 1e9);
+    }
     for (ServerConnection connection : List.copyOf(connections)) {
-      if (moved || (startedAt > 0 && connection.openedAt() - started < 0)) {
+      if (leadsNowhere(connection)) {
         connection.retire();
       }
     }
   }
 
+  private boolean leadsNowhere(ServerConnection connection) {
+    return left
+        || !connection.address().equals(address)
+        || (started != Long.MIN_VALUE && connection.openedAt() - started < 0);
+  }
+
   /** The server has left: what is under way may end, and nothing new begins. */
-  void retire() {
+  void leave() {
+    left = true;
     for (Attempt attempt = waiting.poll(); attempt != null; attempt = waiting.poll()) {
       dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
     }
@@ -81,21 +103,39 @@
       best.write(attempt);
       return;
     }
-    if (connections.size() + connecting < cap()) {
+    if (waiting.size() < connections.stream().filter(ServerConnection::isFreeSoon).count()) {
       waiting.add(attempt);
-      if (connecting < waiting.size()) {
-        connect();
+      return;
+    }
+    if (usable() + connecting < cap()) {
+      if (connecting > waiting.size() || connect()) {
+        waiting.add(attempt);
+        return;
+      }
+      if (best == null && usable() + connecting == 0) {
+        dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
+        return;
       }
-    } else if (best != null) {
+    }
+    if (best != null) {
       best.write(attempt);
     } else {
       waiting.add(attempt);
-      if (connections.isEmpty() && connecting == 0) {
-        connect();
-      }
     }
   }
 
+  /**
+   * Connections that may be written to, now or soon. Those that are being given up do not count:
+   * what hangs on them must keep nothing else from the server.
+   */
+  private int usable() {
+    int usable = 0;
+    for (ServerConnection connection : connections) {
+      usable += connection.unusable() ? 0 : 1;
+    }
+    return usable;
+  }
+
   private int cap() {
     if (cap < limits.connections() && System.nanoTime() - cappedAt > CAPPED_NANOS) {
       cap = limits.connections();
@@ -107,21 +147,32 @@
     waiting.remove(attempt);
   }
 
-  private void connect() {
+  /** Opens one more connection; false if no socket is to be had. */
+  private boolean connect() {
+    if (!pools.takeSocket()) {
+      return false;
+    }
     connecting++;
     long began = System.nanoTime();
-    ServerConnection connection = new ServerConnection(this, dispatcher);
-    ChannelFuture future = connection.open(bootstrap, address);
+    ServerConnection connection = new ServerConnection(this, dispatcher, address);
+    ChannelFuture future = connection.open(bootstrap);
     future.addListener(
         done -> {
           connecting--;
           if (done.isSuccess()) {
             connections.add(connection);
-            free(connection);
+            if (leadsNowhere(connection)) {
+              // The list changed while it came up: another process may be at this address by now.
+              connection.retire();
+            } else {
+              free(connection);
+            }
           } else {
+            pools.giveSocketBack();
             connectFailed(began, done.cause() instanceof ConnectTimeoutException);
           }
         });
+    return true;
   }
 
   /**
@@ -135,33 +186,61 @@
     }
     boolean usable = connections.stream().anyMatch(c -> c.load() < limits.depth());
     if (usable) {
-      cap = Math.max(1, connections.size());
+      cap = Math.max(1, usable());
       cappedAt = System.nanoTime();
-    } else if (connecting > 0) {
-      return;
-    }
-    for (Attempt attempt = waiting.poll(); attempt != null; attempt = waiting.poll()) {
-      if (usable) {
-        send(attempt);
-      } else {
+      resend();
+    } else if (connecting == 0) {
+      for (Attempt attempt = waiting.poll(); attempt != null; attempt = waiting.poll()) {
         dispatcher.ended(attempt, Outcome.Result.CONNECT_FAILED);
       }
     }
   }
 
-  /** A connection has nothing under way: the attempt that waits longest may have it. */
+  /** Finds places anew for as many as wait now: some may have to wait again. */
+  private void resend() {
+    for (int i = waiting.size(); i > 0 && !waiting.isEmpty(); i--) {
+      send(waiting.poll());
+    }
+  }
+
+  /**
+   * A connection may be written to: what waits longest has it, one attempt if others are coming up,
+   * else as many as go on it.
+   */
   void free(ServerConnection connection) {
-    Attempt next = waiting.poll();
-    if (next != null) {
-      connection.write(next);
+    int most = connecting > 0 ? 1 : limits.depth();
+    while (!waiting.isEmpty() && connection.load() < most) {
+      Attempt next = waiting.poll();
+      if (next.request.ended) {
+        // Its value may be gone, and nobody wants its answer.
+        dispatcher.ended(next, Outcome.Result.MOOT);
+      } else {
+        connection.write(next);
+      }
     }
   }
 
   /** A connection is closed. */
   void closed(ServerConnection connection) {
+    pools.giveSocketBack();
     connections.remove(connection);
-    if (connections.isEmpty() && connecting == 0 && !waiting.isEmpty()) {
-      connect();
+    resend();
+  }
+
+  /** The connection that has been idle longest, null if none is. */
+  ServerConnection idlest() {
+    ServerConnection idlest = null;
+    for (ServerConnection connection : connections) {
+      if (connection.isIdle() && (idlest == null || connection.usedAt() - idlest.usedAt() < 0)) {
+        idlest = connection;
+      }
+    }
+    return idlest;
+  }
+
+  void closeStuck(long now) {
+    for (ServerConnection connection : List.copyOf(connections)) {
+      connection.closeIfStuck(now, limits.stuckNanos());
     }
   }
 
@@ -184,7 +263,7 @@
   /** Closes connections not used since the given time, all idle ones for 0. */
   void closeIdle(long before) {
     for (ServerConnection connection : List.copyOf(connections)) {
-      if (connection.load() == 0 && (before == 0 || connection.usedAt() - before < 0)) {
+      if (connection.isIdle() && (before == 0 || connection.usedAt() - before < 0)) {
         connection.retire();
       }
     }
--- a/src/main/java/beamspread/node/ServerPools.java
+++ b/src/main/java/beamspread/node/ServerPools.java
@@ -15,6 +15,9 @@
   private final ServerPool.Limits limits;
   private Dispatcher dispatcher;
 
+  /** Sockets to cache servers: open, coming up, or being given up. */
+  private int sockets;
+
   ServerPools(Bootstrap bootstrap, ServerPool.Limits limits) {
     this.bootstrap = bootstrap;
     this.limits = limits;
@@ -33,15 +36,43 @@
       gone.remove(entry.id());
       ServerPool pool =
           pools.computeIfAbsent(
-              entry.id(), id -> new ServerPool(bootstrap, limits, owner, member.address()));
+              entry.id(), id -> new ServerPool(bootstrap, limits, this, owner, member.address()));
       pool.listed(member.address(), entry.startedAt(), now);
     }
     for (long id : gone) {
       ServerPool pool = pools.remove(id);
       if (pool != null) {
-        pool.retire();
+        pool.leave();
+      }
+    }
+  }
+
+  /**
+   * Takes one of the sockets that all pools share; false if there is none. Guards against running
+   * out of descriptors, after which neither a client nor a server could be reached: where all are
+   * taken, the connection that has been idle longest gives way. It could do harm with many servers
+   * and few descriptors, when each request would open a connection that another needs.
+   */
+  boolean takeSocket() {
+    if (sockets >= limits.sockets()) {
+      ServerConnection idlest = null;
+      for (ServerPool pool : pools.values()) {
+        ServerConnection idle = pool.idlest();
+        if (idle != null && (idlest == null || idle.usedAt() - idlest.usedAt() < 0)) {
+          idlest = idle;
+        }
+      }
+      if (idlest == null) {
+        return false;
       }
+      idlest.retire();
     }
+    sockets++;
+    return true;
+  }
+
+  void giveSocketBack() {
+    sockets--;
   }
 
   void send(Attempt attempt) {
@@ -72,10 +103,11 @@
     }
   }
 
-  /** Closes connections that have been idle for so long that the server might. */
-  void closeStale(long now) {
+  /** Closes connections that have been idle for so long that the server might, and stuck ones. */
+  void sweep(long now) {
     for (ServerPool pool : pools.values()) {
       pool.closeIdle(now - limits.idleNanos());
+      pool.closeStuck(now);
     }
   }
 }
--- a/src/main/java/beamspread/sim/Message.java
+++ b/src/main/java/beamspread/sim/Message.java
@@ -146,6 +146,15 @@
     return found;
   }
 
+  /** The objects of an array that must be there and hold nothing else. */
+  public List<Message> requiredObjects(String name) throws WireException {
+    List<Message> found = objects(name);
+    if (fields.get(name) instanceof List<?> list && list.size() == found.size()) {
+      return found;
+    }
+    throw wrong(name);
+  }
+
   List<String> texts(String name) {
     List<String> found = new ArrayList<>();
     if (fields.get(name) instanceof List<?> list) {
--- a/src/test/java/beamspread/node/MetaCommandTest.java
+++ b/src/test/java/beamspread/node/MetaCommandTest.java
@@ -5,12 +5,14 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class MetaCommandTest {
   @Test
   void answersHelloAndUnknownCommands() {
-    EmbeddedChannel channel = new EmbeddedChannel(new MetaCommand.Decoder(new MemoryBudget(100)));
+    EmbeddedChannel channel =
+        new EmbeddedChannel(new MetaCommand.Decoder(new MemoryBudget(100), List.of()));
     channel.writeInbound(Unpooled.copiedBuffer("mn\r\nnonsense\r\n", StandardCharsets.US_ASCII));
     assertEquals("MN", channel.<MetaCommand>readInbound().reply);
     assertEquals("ERROR", channel.<MetaCommand>readInbound().reply);
--- /dev/null
+++ b/src/test/java/beamspread/node/Peers.java
@@ -0,0 +1,280 @@
+package beamspread.node;
+
+import beamspread.model.ServerEntry;
+import beamspread.model.Settings;
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+
+/** Stand-ins, on loopback sockets, for what a node talks to. */
+final class Peers {
+  private static final int PATIENCE_MILLIS = 20_000;
+
+  private Peers() {}
+
+  /** Waits for a condition, for far longer than it needs. */
+  static void await(String what, BooleanSupplier condition) throws InterruptedException {
+    long until = System.nanoTime() + PATIENCE_MILLIS * 1_000_000L;
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() - until > 0) {
+        throw new AssertionError("not within " + PATIENCE_MILLIS + " ms: " + what);
+      }
+      Thread.sleep(5);
+    }
+  }
+
+  static String flag(String command, char flag) {
+    for (String word : command.split(" ")) {
+      if (word.charAt(0) == flag && !word.equals(command.split(" ")[1])) {
+        return word.substring(1);
+      }
+    }
+    return "";
+  }
+
+  /** The answer that a cache server gives. */
+  static String good(String command) {
+    return command.startsWith("mg")
+        ? "VA 5 O" + flag(command, 'O') + " h1\r\nhello\r\n"
+        : "HD O" + flag(command, 'O') + " c77\r\n";
+  }
+
+  private static String line(InputStream in) throws IOException {
+    ByteArrayOutputStream line = new ByteArrayOutputStream();
+    for (int b = in.read(); b >= 0; b = in.read()) {
+      if (b == '\n') {
+        return line.toString(StandardCharsets.ISO_8859_1).replace("\r", "");
+      }
+      line.write(b);
+    }
+    return null;
+  }
+
+  /** Listens, and answers each line of a connection by a function; null answers nothing. */
+  static class Server implements AutoCloseable {
+    final List<String> lines = new CopyOnWriteArrayList<>();
+    final List<Socket> connections = new CopyOnWriteArrayList<>();
+    volatile Function<String, String> script;
+    private final ServerSocket listener;
+
+    Server(Function<String, String> script) throws IOException {
+      this.script = script;
+      listener = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
+      daemon(
+          () -> {
+            while (!listener.isClosed()) {
+              Socket socket = listener.accept();
+              connections.add(socket);
+              daemon(() -> serve(socket));
+            }
+          });
+    }
+
+    private interface Step {
+      void run() throws IOException;
+    }
+
+    private static void daemon(Step step) {
+      Thread thread =
+          new Thread(
+              () -> {
+                try {
+                  step.run();
+                } catch (IOException e) {
+                  // The other end, or the test, has closed the socket.
+                }
+              });
+      thread.setDaemon(true);
+      thread.start();
+    }
+
+    private void serve(Socket socket) throws IOException {
+      try (socket) {
+        InputStream in = new BufferedInputStream(socket.getInputStream());
+        for (String line = line(in); line != null; line = line(in)) {
+          if (line.startsWith("ms ")) {
+            in.readNBytes(Integer.parseInt(line.split(" ")[2]) + 2);
+          }
+          lines.add(line);
+          String answer = script.apply(line);
+          if (answer != null) {
+            socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().flush();
+          }
+        }
+      } finally {
+        connections.remove(socket);
+      }
+    }
+
+    InetSocketAddress address() {
+      return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    @Override
+    public void close() throws IOException {
+      listener.close();
+      for (Socket socket : connections) {
+        socket.close();
+      }
+    }
+  }
+
+  /** A discovery that answers every watch with the same list and keeps it open. */
+  static Server discovery(int version, Server... servers) throws IOException {
+    String json = list(version, servers) + "\n";
+    String answer =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + Integer.toHexString(json.length())
+            + "\r\n"
+            + json
+            + "\r\n";
+    return new Server(line -> line.startsWith("GET ") ? answer : null);
+  }
+
+  static String list(int version, Server... servers) {
+    List<String> lines = new ArrayList<>();
+    for (Server server : servers) {
+      lines.add(
+          "{\"id\":\"s-%d\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"a\",\"kind\":\"box\",\"state\":\"active\"}"
+              .formatted(server.address().getPort(), server.address().getPort()));
+    }
+    return "{\"version\":%d,\"full\":true,\"servers\":[%s]}"
+        .formatted(version, String.join(",", lines));
+  }
+
+  /** A client's connection. */
+  static final class Client implements AutoCloseable {
+    private final Socket socket = new Socket();
+    private final InputStream in;
+
+    Client(InetSocketAddress node) throws IOException {
+      socket.connect(node, PATIENCE_MILLIS);
+      socket.setSoTimeout(PATIENCE_MILLIS);
+      in = new BufferedInputStream(socket.getInputStream());
+    }
+
+    Client send(String text) throws IOException {
+      OutputStream out = socket.getOutputStream();
+      out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+      out.flush();
+      return this;
+    }
+
+    Client read(String id) throws IOException {
+      return send("mg key-" + id + " v O" + id + " Pc=read,d=5000\r\n");
+    }
+
+    Client write(String id) throws IOException {
+      return send("ms key-" + id + " 5 O" + id + " Pc=put,d=5000\r\nworld\r\n");
+    }
+
+    /** The next line; null at the connection's end, also where it was reset. */
+    String line() throws IOException {
+      try {
+        return Peers.line(in);
+      } catch (SocketTimeoutException e) {
+        throw new AssertionError("no answer", e);
+      } catch (IOException e) {
+        return null;
+      }
+    }
+
+    @Override
+    public void close() throws IOException {
+      socket.close();
+    }
+  }
+
+  static Settings settings(Settings.Limits limits) {
+    return new Settings(
+        "a",
+        List.of("a"),
+        List.of("box"),
+        0,
+        2,
+        false,
+        Settings.Weights.NONE,
+        new Settings.CacheMode(false, null, 0, 0),
+        limits,
+        new Settings.Contract(0.02, 10, 2, 0.1, 20, 3, 2),
+        new Settings.Prices(0, 0, 0, 0, 0, 0, 0, 0, 0),
+        List.of(
+            service("read", Settings.Effect.SAFE),
+            service("put", Settings.Effect.UNSAFE),
+            service("keyed", Settings.Effect.KEYED)),
+        List.of(),
+        1,
+        0.005);
+  }
+
+  private static Settings.ServiceClass service(String name, Settings.Effect effect) {
+    return new Settings.ServiceClass(name, 2.5, 0, 5, 1, 0.2, effect, Settings.Group.ALL, 1, false);
+  }
+
+  /** A node whose list names these servers and whose discovery says nothing else. */
+  static final class Rig implements AutoCloseable {
+    final Node node;
+    final InetSocketAddress address;
+    private final Server discovery;
+
+    Rig(ClientConnections.Limits limits, Server... servers)
+        throws IOException, InterruptedException {
+      this(limits, 256, servers);
+    }
+
+    Rig(ClientConnections.Limits limits, int sockets, Server... servers)
+        throws IOException, InterruptedException {
+      discovery = discovery(1, servers);
+      List<MemberList.Member> members = new ArrayList<>();
+      for (Server server : servers) {
+        members.add(
+            new MemberList.Member(
+                new ServerEntry(
+                    MemberList.number("s-" + server.address().getPort()),
+                    "a",
+                    "box",
+                    0,
+                    ServerEntry.State.READY,
+                    1,
+                    0),
+                server.address()));
+      }
+      node =
+          new Node(
+              new NodeConfig(
+                  new InetSocketAddress("127.0.0.1", 0),
+                  discovery.address(),
+                  1,
+                  sockets,
+                  64,
+                  new MemberList(true, 1, members),
+                  settings(new Settings.Limits(6, true, true, false, false, false, 1, 2, 60, 32))),
+              limits);
+      address = node.start();
+    }
+
+    Client client() throws IOException {
+      return new Client(address);
+    }
+
+    @Override
+    public void close() throws IOException {
+      node.close();
+      discovery.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/node/SpoiltRepliesTest.java
@@ -0,0 +1,107 @@
+package beamspread.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Cache servers that answer with what is no answer, or with more than one. */
+@ExtendWith(LeakCheck.class)
+class SpoiltRepliesTest {
+  private static final ClientConnections.Limits CALM = ClientConnections.Limits.usual(50);
+
+  /** Answers the first command with a text, ID standing for the request's id, others well. */
+  private static Function<String, String> first(String answer) {
+    AtomicInteger count = new AtomicInteger();
+    return line ->
+        count.getAndIncrement() == 0
+            ? answer.replace("ID", Peers.flag(line, 'O'))
+            : Peers.good(line);
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "noise\r\n",
+        "\u0000\u0001\u0002\n",
+        "VA 5 Oother h1\r\nhello\r\n",
+        "VA 3 OID h1\r\nhello\r\n",
+        "VA 9 OID h1\r\nhello\r\n",
+        "VA 3000000000 OID h1\r\nhello",
+        "VA 70000 OID h1\r\nhello",
+        "VA -5 OID h1\r\nhello\r\n",
+        "VA 5 h1\r\nhello\r\n",
+        "HD OID c5\r\n",
+        "HD OID\r\n",
+        "VA 5 OID h",
+      })
+  void areFailedAttemptsOfAReadThatIsSentAgain(String answer) throws Exception {
+    try (Peers.Server server = new Peers.Server(first(answer));
+        Peers.Rig rig = new Peers.Rig(CALM, server);
+        Peers.Client client = rig.client()) {
+      assertEquals("VA 5 O1", client.read("1").line());
+      assertEquals("hello", client.line());
+      assertEquals(2, server.lines.size());
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"VA 5 OID h1\r\nhello\r\n", "HD OID\r\n", "HD Oother c5\r\n", "HD"})
+  void mayHaveRunSoThatAnUnsafeWriteFails(String answer) throws Exception {
+    try (Peers.Server server = new Peers.Server(first(answer));
+        Peers.Rig rig = new Peers.Rig(CALM, server);
+        Peers.Client client = rig.client()) {
+      assertEquals("SERVER_ERROR failed", client.write("1").line());
+      assertEquals("HD O2 c77", client.write("2").line());
+      assertEquals(2, server.lines.size());
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "VA 5 OID h1\r\nhello\r\nVA 5 OID h1\r\nhello\r\n",
+        "VA 5 OID h1\r\nhello\r\nnoise",
+        "VA 5 OID h1\r\nhello\r\nnoise\r\n",
+        "VA 5 OID h1\r\nhello\r\nHD Oother c1\r\n",
+      })
+  void moreThanTheAnswerHurtsNeitherItNorTheNext(String answer) throws Exception {
+    try (Peers.Server server = new Peers.Server(first(answer));
+        Peers.Rig rig = new Peers.Rig(CALM, server);
+        Peers.Client client = rig.client()) {
+      assertEquals("VA 5 O1", client.read("1").line());
+      assertEquals("hello", client.line());
+      assertEquals("HD O2 c77", client.write("2").line());
+      assertEquals(2, server.lines.size());
+      Peers.await("the connection is given up", () -> server.connections.size() <= 1);
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"L", "L=", "Linflight=x,queue=,util=1e999", "L\u0001\u00ff=,, Oother c9 h0"})
+  void aLoadReportThatCannotBeReadIsNoReport(String report) throws Exception {
+    try (Peers.Server server = new Peers.Server(first("VA 5 OID h1 " + report + "\r\nhello\r\n"));
+        Peers.Rig rig = new Peers.Rig(CALM, server);
+        Peers.Client client = rig.client()) {
+      assertEquals("VA 5 O1", client.read("1").line());
+      assertEquals("hello", client.line());
+      assertEquals(1, server.lines.size());
+    }
+  }
+
+  @Test
+  void aServersErrorLinesLeaveTheOthersOnItsConnectionAlone() throws Exception {
+    try (Peers.Server server = new Peers.Server(first("CLIENT_ERROR what\r\n"));
+        Peers.Rig rig = new Peers.Rig(CALM, server);
+        Peers.Client client = rig.client()) {
+      assertEquals("SERVER_ERROR failed", client.write("1").line());
+      assertEquals("VA 5 O2", client.read("2").line());
+      assertEquals(1, server.connections.size());
+    }
+  }
+}
