A shorter start, and a module that forgets what is of no more use

Ruled out: an unused archive (it is mapped in the running nodes). OriginGuard kept keys for as long as 32768 had room and parked requests for as long as fetches jam; both end now. A class that the settings don't name was taken for one that may be sent once (ServiceClass.unknown); it fails.

--- a/src/main/java/beamspread/model/Settings.java
+++ b/src/main/java/beamspread/model/Settings.java
@@ -43,7 +43,12 @@
     NONE,
     NOMINAL,
     ROUGH,
-    LIVE
+    LIVE;
+
+    /** Whether they tell a size that stays as it is. */
+    public boolean steady() {
+      return this == NOMINAL || this == ROUGH;
+    }
   }
 
   /** What repeating a request does. */
@@ -165,13 +170,7 @@
       Effect effect,
       Group group,
       double repeatWindow,
-      boolean streamed) {
-
-    /** A class that the settings do not name: nothing is known of what repeating it does. */
-    public static ServiceClass unknown(String name, double budget) {
-      return new ServiceClass(name, budget, 0, budget, 1, 0, Effect.UNSAFE, Group.CELL, 0, false);
-    }
-  }
+      boolean streamed) {}
 
   /**
    * A tenant.
--- a/src/main/java/beamspread/node/Rehearsal.java
+++ b/src/main/java/beamspread/node/Rehearsal.java
@@ -31,7 +31,7 @@
  * its length, which is bounded; where it cannot run, the node starts without it.
  */
 final class Rehearsal {
-  static final int REQUESTS = 1000;
+  static final int REQUESTS = 300;
 
   /** Requests out at once, few enough that no connection is held to have too many. */
   private static final int TOGETHER = 8;
--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -109,9 +109,7 @@
         totalWeight += weight(server);
       }
     }
-    boolean weighted =
-        settings.weights() == Settings.Weights.NOMINAL
-            || settings.weights() == Settings.Weights.ROUGH;
+    boolean weighted = settings.weights().steady();
     if (!caches.equals(ready) || (weighted && update.kind() != MembershipUpdate.Kind.FAILED)) {
       slots.rebuild(caches, weighted);
     }
@@ -127,7 +125,8 @@
   public void request(double now, Request request) {
     Settings.ServiceClass type = classes.get(request.serviceClass());
     if (type == null) {
-      type = Settings.ServiceClass.unknown(request.serviceClass(), request.budget());
+      actions.fail(request.id()); // Nothing is known of what it does: no server may get it.
+      return;
     }
     everySecond(now);
     requests++;
@@ -231,9 +230,7 @@
       usualStrain = strains.length == 0 ? 0 : strains[strains.length / 2];
       double weight = 0;
       for (ServerHealth server : ready) {
-        if (server.warmth(now) >= 1 && !server.suspect()) {
-          weight += weight(server);
-        }
+        weight += server.warmth(now) >= 1 && !server.suspect() ? weight(server) : 0;
       }
       if (weight > 0) {
         double rate = warmAnswers / (now - rateAt) / weight;
--- a/src/main/java/beamspread/policy/OriginGuard.java
+++ b/src/main/java/beamspread/policy/OriginGuard.java
@@ -20,6 +20,8 @@
 
   private static final double FIRST_HORIZON = 8;
 
+  private static final double LONGEST_HORIZON = 60;
+
   /** The window shrinks once in this part of an aim: fetches of a moment fail together. */
   private static final double ROUND = 0.5;
 
@@ -28,9 +30,9 @@
   /** The part of fetches that may fail before the window shrinks. */
   private static final double FAIR_LOSSES = 0.15;
 
-  private final Map<Long, Double> answeredAt = new LinkedHashMap<>(1024, 0.75f, true);
+  final Map<Long, Double> answeredAt = new LinkedHashMap<>(1024, 0.75f, true);
   private final Map<Long, List<PendingRequest>> flights = new HashMap<>();
-  private final ArrayDeque<PendingRequest> parked = new ArrayDeque<>();
+  final ArrayDeque<PendingRequest> parked = new ArrayDeque<>();
   private double horizon = FIRST_HORIZON;
   private double window = Double.POSITIVE_INFINITY;
   private int fetches;
@@ -82,6 +84,7 @@
   }
 
   void park(PendingRequest p) {
+    parked.removeIf(old -> !old.waiting); // Else the longer a jam, the more would be kept.
     parked.addLast(p);
   }
 
@@ -133,15 +136,17 @@
   /** A server answered a request for a key: it holds it now. */
   void answered(double now, long pair, Outcome.Note note) {
     Double at = answeredAt.put(pair, now);
-    if (answeredAt.size() > MEMORY) {
-      answeredAt.remove(answeredAt.keySet().iterator().next());
+    // Guards against growth for hours: what is older than any horizon tells nothing any more.
+    var eldest = answeredAt.entrySet().iterator().next();
+    if (answeredAt.size() > MEMORY || eldest.getValue() < now - LONGEST_HORIZON) {
+      answeredAt.remove(eldest.getKey());
     }
     if (at != null) {
       double age = now - at;
       if (note == Outcome.Note.MISS && age < horizon) {
         horizon = Math.max(0.5, horizon * 0.98);
       } else if (note == Outcome.Note.HIT && age > horizon) {
-        horizon = Math.min(60, horizon * 1.02);
+        horizon = Math.min(LONGEST_HORIZON, horizon * 1.02);
       }
     }
   }
--- a/src/test/java/beamspread/policy/FailuresTest.java
+++ b/src/test/java/beamspread/policy/FailuresTest.java
@@ -422,6 +422,32 @@
     assertTrue(inZone.get(true) >= 9, "in the own zone: " + inZone);
   }
 
+  @Test
+  void aClassThatTheSettingsDoNotNameGoesToNoServer() {
+    balancer.membership(100, Rig.fleet(3));
+    balancer.request(100, Rig.request("x", "k", "nobody", 1));
+    assertEquals(0, actions.of("send").size());
+    assertEquals(1, actions.of("fail").size());
+  }
+
+  @Test
+  void keysOfLongAgoAndRequestsThatNoLongerWaitAreForgotten() {
+    OriginGuard guard = new OriginGuard();
+    for (int second = 0; second < 1000; second++) {
+      for (int i = 0; i < 5; i++) {
+        guard.answered(second, 5L * second + i, Outcome.Note.HIT);
+      }
+    }
+    assertTrue(guard.answeredAt.size() <= 5 * 61, guard.answeredAt.size() + " keys");
+    Settings.ServiceClass type = Rig.settings(false, 6, true).services().get(0);
+    for (int i = 0; i < 100; i++) {
+      PendingRequest p = new PendingRequest(Rig.request("p" + i, "k", "safe", 1), type, i, i, 0);
+      p.waiting = i % 2 == 0;
+      guard.park(p);
+    }
+    assertTrue(guard.parked.size() <= 51, guard.parked.size() + " parked");
+  }
+
   @Test
   void nonsenseFiguresNeitherBreakNorEmptyTheChoice() {
     balancer.membership(
@@ -433,7 +459,7 @@
                 new ServerEntry(2, "a", "box", 0, ServerEntry.State.READY, Double.NaN, 1e300))));
     for (int i = 0; i < 60; i++) {
       Request request =
-          new Request("n" + i, i % 2 == 0 ? null : "k", "nobody", null, 1, -1, -1, true, false);
+          new Request("n" + i, i % 2 == 0 ? null : "k", "safe", null, 1, -1, -1, true, false);
       balancer.request(100 + i, request);
       Rig.Act last = actions.acts.get(actions.acts.size() - 1);
       assertEquals("send", last.what());
