A server that resets connections is neither dead nor cold

ServerHealth.ended took any two resets in a row for a death, and the next answer for a new, cold process: with every server held cold for 24 s almost nothing was let out. Changes: a reset within a second of an answer says something of its connection only; a death needs a broken connection, a failed trial and two seconds without any answer. A connection that has just answered is not written to again at once where another is free, since some servers close right behind an answer.

Ruled out: CPU (under its limit in the jam), descriptors, the origin's window.

--- a/src/main/java/beamspread/model/Outcome.java
+++ b/src/main/java/beamspread/model/Outcome.java
@@ -22,6 +22,13 @@
     Note note,
     LoadReport load) {
 
+  /** Whether the server itself is to blame; an error that names a miss is the origin's. */
+  public boolean blamesServer() {
+    return result == Result.TIMEOUT
+        || result == Result.FULL
+        || (result == Result.ERROR && note == Note.NONE);
+  }
+
   /** How an attempt, or a probe, can end. */
   public enum Result {
     OK(false, true),
--- a/src/main/java/beamspread/node/ServerConnection.java
+++ b/src/main/java/beamspread/node/ServerConnection.java
@@ -16,6 +16,9 @@
  * the attempt that waits longest.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
+  /** After so long without a close behind an answer none is to be expected. */
+  private static final long SETTLED_NANOS = 5_000_000L;
+
   private final ServerPool pool;
   private final Dispatcher dispatcher;
   private final SocketAddress address;
@@ -99,11 +102,17 @@
     return underWay.isEmpty() && !reading && !unusable();
   }
 
-  /** Whether an attempt is better written here: fewer to wait for, or more lately in use. */
-  boolean preferredTo(ServerConnection other) {
-    return other == null
-        || load() < other.load()
-        || (load() == other.load() && usedAt - other.usedAt > 0);
+  /**
+   * Whether an attempt is better written here: fewer to wait for, or more lately in use, but not
+   * just now. Guards against a server that closes a connection right behind an answer: what is
+   * written before that is seen ends as a reset, and may have run.
+   */
+  boolean preferredTo(ServerConnection other, long now) {
+    if (other == null || load() != other.load()) {
+      return other == null || load() < other.load();
+    }
+    boolean settled = now - usedAt > SETTLED_NANOS;
+    return settled == (now - other.usedAt > SETTLED_NANOS) ? usedAt - other.usedAt > 0 : settled;
   }
 
   void write(Attempt attempt) {
--- a/src/main/java/beamspread/node/ServerPool.java
+++ b/src/main/java/beamspread/node/ServerPool.java
@@ -93,9 +93,10 @@
    * is none, opens one more; at the limit, writes it behind the fewest others.
    */
   void send(Attempt attempt) {
+    long now = System.nanoTime();
     ServerConnection best = null;
     for (ServerConnection connection : connections) {
-      if (connection.load() < limits.depth() && connection.preferredTo(best)) {
+      if (connection.load() < limits.depth() && connection.preferredTo(best, now)) {
         best = connection;
       }
     }
--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -355,8 +355,7 @@
     }
     inFlight--;
     ServerHealth server = p.tries.get(outcome.attempt()).server;
-    boolean refused = server.ended(now, outcome, settings.limits().idleTimeout(), fewFailing);
-    thrift(now, server, refused);
+    thrift(now, server, server.ended(now, outcome, settings.limits().idleTimeout(), fewFailing));
     if (outcome.result() == Outcome.Result.OK) {
       retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
       answers++;
--- a/src/main/java/beamspread/policy/MembershipFeed.java
+++ b/src/main/java/beamspread/policy/MembershipFeed.java
@@ -3,7 +3,6 @@
 import beamspread.model.MembershipUpdate;
 import beamspread.model.ServerEntry;
 import beamspread.model.Settings;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -27,13 +26,7 @@
 
   /** All servers of the list that are ready, by id. */
   List<ServerHealth> ready() {
-    List<ServerHealth> found = new ArrayList<>();
-    for (ServerHealth server : servers.values()) {
-      if (server.ready()) {
-        found.add(server);
-      }
-    }
-    return found;
+    return servers.values().stream().filter(ServerHealth::ready).toList();
   }
 
   /** Takes news of the list in. */
--- a/src/main/java/beamspread/policy/ServerHealth.java
+++ b/src/main/java/beamspread/policy/ServerHealth.java
@@ -12,6 +12,12 @@
   /** Attempts in a row not served that make a server suspect, where most servers fare well. */
   static final int UNSERVED_AFTER = 3;
 
+  /** Seconds after an answer in which a reset says something of a connection, not of its server. */
+  private static final double LIVELY = 1;
+
+  /** Seconds without any answer after which a server that answers again has been restarted. */
+  private static final double LEAST_OUTAGE = 2;
+
   /** Pause before a suspect's first trial, and the longest one, in seconds. */
   private static final double FIRST_PAUSE = 0.5;
 
@@ -49,7 +55,10 @@
   /** When a connection was last in use; none is held when this is too long ago. */
   double connectedAt = Double.NEGATIVE_INFINITY;
 
-  /** Whether its process ended by what was seen: a connection to it broke. */
+  /** Whether a connection to it broke, when it last answered, and whether its process ended. */
+  private boolean broke;
+
+  private double heardAt = Double.NEGATIVE_INFINITY;
   private boolean died;
 
   private double tokens;
@@ -162,22 +171,21 @@
   boolean ended(double now, Outcome outcome, double idleTimeout, boolean few) {
     Outcome.Result result = outcome.result();
     boolean served = result == Outcome.Result.OK || result == Outcome.Result.NOT_STORED;
-    // An error that names a miss is the origin's.
-    boolean failed =
-        result == Outcome.Result.TIMEOUT
-            || result == Outcome.Result.FULL
-            || (result == Outcome.Result.ERROR && outcome.note() == Outcome.Note.NONE);
+    boolean failed = outcome.blamesServer();
     unserved = served ? 0 : unserved + (failed ? 1 : 0);
     inFlight--;
     trialOut = false;
     boolean was = suspect();
     if (result.unreachable()) {
       // A server at its limit of connections refuses as a dead one does, but keeps those it has.
-      died |= result == Outcome.Result.RESET || now - connectedAt < idleTimeout;
+      broke |= result == Outcome.Result.RESET || now - connectedAt < idleTimeout;
+      // Guards against taking a live server that resets connections for a dead one, and then for a
+      // cold one: only one that refuses its trials, too, for as long as a start takes, has died.
+      died |= was && broke && now - heardAt > LEAST_OUTAGE;
       connectedAt = Double.NEGATIVE_INFINITY;
-      failures++;
+      failures += result == Outcome.Result.RESET && now - heardAt < LIVELY ? 0 : 1;
     } else if (result.fromServer()) {
-      connectedAt = now;
+      connectedAt = heardAt = now;
       if (was && died) {
         // It was down and answers again before the list has told: its process is new and cold.
         startedAt = Math.max(startedAt, now);
@@ -185,7 +193,7 @@
         tokensAt = now;
       }
       failures = 0;
-      died = false;
+      died = broke = false;
     }
     // Guards against servers that hang, whose fetches would be taken for the origin's losses, and
     // against those that turn all away at once and so draw the most; not where many do so, for that
@@ -197,6 +205,6 @@
       pause = was ? Math.min(LONGEST_PAUSE, pause * 1.5) : FIRST_PAUSE;
       trialAt = now + pause;
     }
-    return result.unreachable() && !died;
+    return result.unreachable() && !broke;
   }
 }
