A server that serves a part stays in use, and what it turns away goes on free

Ruled out: the origin (fetches at the good servers: none lost), warmth (100% at all), the caps (six connections to each server again).

Mend: suspect is only who has served nothing for a second; failures from before a trial put it off no further, and one that the server ended itself is followed by the next trial in half a second; what a server turns away that loses fetches which others serve needs no token.

The new tests fail without the change.

--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -142,7 +142,7 @@
     // Guards against more work than the servers can do, where every answer would come late: no more
     // goes out while less would be answered within the aim (Little's law). Fetches have a window of
     // their own, and one for each server is always fair.
-    int busy = inFlight - guard.inFlight();
+    int busy = inFlight - guard.fetches;
     boolean hopeless = busy > ready.size() && busy > answerRate * type.aim();
     if (hopeless || !dispatch(now, p)) {
       giveUp(p);
@@ -163,7 +163,7 @@
     boolean local =
         settings.prices().crossZone() > 0
             && (write || seenInZone * settings.prices().crossZone() >= LOCAL_SIGHTINGS);
-    double share = seen / Math.max(heat.total(), 50);
+    double share = seen / Math.max(heat.total, 50);
     double servers = local ? ready.size() / zones : ready.size();
     p.homes = (int) Math.max(1, Math.min(servers, Math.ceil(share * servers / HOT_SHARE)));
     p.localJumps = local ? (int) (p.homes * zones * LOCAL_JUMPS) : 0;
@@ -472,15 +472,21 @@
       answer(p);
       return;
     }
+    // Where one server turns away what the others serve, retries multiply nothing.
+    boolean ownTrouble =
+        p.tries.get(outcome.attempt()).server.fetchLosses > OriginGuard.FAIR_LOSSES;
+    boolean free =
+        outcome.result().unreachable()
+            || (outcome.result() == Outcome.Result.FULL && ownTrouble && !guard.troubled());
     if (outcome.result() == Outcome.Result.NOT_STORED) {
       ServerHealth origin = leastLoaded(now, p, origins);
       if (origin != null) {
         send(now, p, origin);
         return;
       }
-    } else if (outcome.result().unreachable() || (retryTokens >= 1 && !guard.troubled())) {
+    } else if (free || (retryTokens >= 1 && !guard.troubled())) {
       // Not while fetches fail: a retry would be one more of them.
-      retryTokens -= outcome.result().unreachable() ? 0 : 1;
+      retryTokens -= free ? 0 : 1;
       if (dispatch(now, p)) {
         return;
       }
--- a/src/main/java/beamspread/policy/KeyHeat.java
+++ b/src/main/java/beamspread/policy/KeyHeat.java
@@ -8,7 +8,10 @@
   private static final double HALF_LIFE = 4;
 
   private final float[][] rows = new float[2][CELLS];
-  private float total;
+
+  /** All recent sightings, counted alike. */
+  float total;
+
   private double foldedAt;
 
   /** Counts a sighting and returns the key's weight: its recent sightings, an upper estimate. */
@@ -30,11 +33,6 @@
     return least;
   }
 
-  /** All recent sightings, counted alike. */
-  float total() {
-    return total;
-  }
-
   private void fold() {
     float keep = 0.8409f; // the fourth root of a half
     total *= keep;
--- a/src/main/java/beamspread/policy/OriginGuard.java
+++ b/src/main/java/beamspread/policy/OriginGuard.java
@@ -28,14 +28,16 @@
   private static final double SHRINK = 0.7;
 
   /** The part of fetches that may fail before the window shrinks, at the servers that fare best. */
-  private static final double FAIR_LOSSES = 0.15;
+  static final double FAIR_LOSSES = 0.15;
 
   final Map<Long, Double> answeredAt = new LinkedHashMap<>(1024, 0.75f, true);
   private final Map<Long, List<PendingRequest>> flights = new HashMap<>();
   final ArrayDeque<PendingRequest> parked = new ArrayDeque<>();
   private double horizon = FIRST_HORIZON;
   private double window = Double.POSITIVE_INFINITY;
-  private int fetches;
+
+  /** Likely fetches in flight, those at strained servers aside. */
+  int fetches;
 
   /** The rate of likely fetches that the window never refuses. */
   double floor;
@@ -73,11 +75,6 @@
     return tokens < 1;
   }
 
-  /** Likely fetches in flight, those at strained servers aside. */
-  int inFlight() {
-    return fetches;
-  }
-
   /** Whether more fetches fail than is fair. */
   boolean troubled() {
     return losses > FAIR_LOSSES;
--- a/src/main/java/beamspread/policy/ServerHealth.java
+++ b/src/main/java/beamspread/policy/ServerHealth.java
@@ -61,6 +61,7 @@
   private boolean broke;
 
   private double heardAt = Double.NEGATIVE_INFINITY;
+  private double servedAt = Double.NEGATIVE_INFINITY;
   private boolean died;
 
   private double tokens;
@@ -184,6 +185,7 @@
     boolean served = result == Outcome.Result.OK || result == Outcome.Result.NOT_STORED;
     boolean failed = outcome.blamesServer();
     unserved = served ? 0 : unserved + (failed ? 1 : 0);
+    servedAt = served ? now : servedAt;
     inFlight--;
     trialOut = false;
     boolean was = suspect();
@@ -208,12 +210,13 @@
     }
     // Guards against servers that hang, whose fetches would be taken for the origin's losses, and
     // against those that turn all away at once and so draw the most; not where many do so, for that
-    // has a cause that they share.
-    if (failed && few && unserved >= UNSERVED_AFTER) {
+    // has a cause that they share, nor where it serves a part: its load would push the others over.
+    if (failed && few && unserved >= UNSERVED_AFTER && now - servedAt > LIVELY) {
       failures = SUSPECT_AFTER;
     }
-    if (suspect() && !served) {
-      pause = was ? Math.min(LONGEST_PAUSE, pause * 1.5) : FIRST_PAUSE;
+    // What was out before the trial tells nothing new, and a trial that ends at once costs little.
+    if (suspect() && !served && (!was || now >= trialAt)) {
+      pause = was && !result.fromServer() ? Math.min(LONGEST_PAUSE, pause * 1.5) : FIRST_PAUSE;
       trialAt = now + pause;
     }
     return result.unreachable() && !broke;
--- a/src/test/java/beamspread/node/TroubledServersTest.java
+++ b/src/test/java/beamspread/node/TroubledServersTest.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
@@ -53,6 +55,26 @@
     }
   }
 
+  @Test
+  void whatSomeTurnAwayIsServedByTheOthers() throws Exception {
+    AtomicInteger reads = new AtomicInteger();
+    Function<String, String> half =
+        line -> reads.getAndIncrement() % 2 == 0 ? "SERVER_ERROR busy\r\n" : Peers.good(line);
+    try (Peers.Server bad = new Peers.Server(half);
+        Peers.Server badToo = new Peers.Server(half);
+        Peers.Server good = new Peers.Server(Peers::good);
+        Peers.Server goodToo = new Peers.Server(Peers::good);
+        Peers.Rig rig = new Peers.Rig(CALM, bad, badToo, good, goodToo);
+        Peers.Client client = rig.client()) {
+      // More than the tokens that a failed attempt costs elsewhere would do for.
+      for (int i = 0; i < 1000 && reads.get() < 200; i++) {
+        assertEquals("VA 5 O" + i, client.read("" + i).line());
+        client.line();
+      }
+      assertTrue(reads.get() >= 200);
+    }
+  }
+
   @Test
   void oneRefusedConnectionIsNoLimitForLong() throws Exception {
     try (Peers.Server server =
--- a/src/test/java/beamspread/policy/FailuresTest.java
+++ b/src/test/java/beamspread/policy/FailuresTest.java
@@ -257,6 +257,24 @@
     }
   }
 
+  @Test
+  void aServerThatServesAPartIsNotSuspect() {
+    ServerHealth one = server(1);
+    ended(one, 100, Outcome.Result.OK);
+    for (int i = 0; i < 10; i++) {
+      ended(one, 100.5, Outcome.Result.FULL);
+    }
+    assertFalse(one.suspect());
+    ended(one, 101.2, Outcome.Result.FULL);
+    assertTrue(one.suspect(), "it has served nothing for a second");
+    for (int i = 0; i < 10; i++) {
+      ended(one, 101.3, Outcome.Result.FULL);
+    }
+    assertTrue(one.trialDue(101.8), "what was out before puts no trial off");
+    ended(one, 101.8, Outcome.Result.FULL);
+    assertTrue(one.trialDue(102.4), "nor does a trial that ended at once");
+  }
+
   @Test
   void thePartThatAlwaysGoesShrinksWhileFetchesFail() {
     double[] passed = new double[2];
