Clients that ask once and keep their connection leave room for others; shorter starts

The node had no request open and refused none: the clients had no connection left to ask on.

Ruled out: newcomers turned away in ClientConnections.opened (0), MAX_OPEN (0), the module (36 writes hopeless in a second at most, else none), reading stopped (autoRead on at all of them), CPU.

The test fails without the rule.

--- a/src/main/java/beamspread/node/ClientConnections.java
+++ b/src/main/java/beamspread/node/ClientConnections.java
@@ -11,22 +11,36 @@
    *
    * @param connections how many may be open
    * @param commandNanos how long a command may take to come, and the first one to begin
-   * @param idleNanos how long one is kept between requests; the protocol grants 2 s
+   * @param idleNanos how long one is kept between requests while there are few
+   * @param crowdedNanos how long one is kept between requests while there are many
    * @param stallNanos how long a client may read nothing of what waits for it
    * @param lingerNanos how long a client that was turned away has to read why
    */
   record Limits(
-      int connections, long commandNanos, long idleNanos, long stallNanos, long lingerNanos) {
+      int connections,
+      long commandNanos,
+      long idleNanos,
+      long crowdedNanos,
+      long stallNanos,
+      long lingerNanos) {
 
     static Limits usual(int connections) {
       return new Limits(
-          connections, 2_000_000_000L, 10_000_000_000L, 3_000_000_000L, 1_000_000_000L);
+          connections,
+          2_000_000_000L,
+          10_000_000_000L,
+          100_000_000L,
+          3_000_000_000L,
+          1_000_000_000L);
     }
   }
 
   /** A client that means to ask does so within this time: the way there and some to spare. */
   private static final long FRESH_NANOS = 50_000_000L;
 
+  /** The part of its connections from which on a node has many. */
+  private static final int CROWD = 3;
+
   private final Limits limits;
   private final LinkedHashSet<ClientHandler> open = new LinkedHashSet<>();
 
@@ -50,6 +64,17 @@
     return limits;
   }
 
+  /**
+   * How long a connection is kept between requests. Guards against clients that ask once and keep
+   * their connection: these use up what all clients together may hold, long before this node runs
+   * out, and then others have none to ask on. Should cover pools that are left open as well. With
+   * few connections open nothing is closed early, since a new one costs both sides work; it could
+   * do harm where many clients ask again after a moment: these have to connect anew.
+   */
+  long restNanos() {
+    return open.size() > limits.connections() / CROWD ? limits.crowdedNanos() : limits.idleNanos();
+  }
+
   /**
    * Takes a new connection in; false if there is no room. Guards against running out of
    * descriptors: whoever waits least for an answer gives way, and no request that is open ever
--- a/src/main/java/beamspread/node/ClientHandler.java
+++ b/src/main/java/beamspread/node/ClientHandler.java
@@ -297,7 +297,7 @@
         turnAway("CLIENT_ERROR command not finished");
       }
     } else if (slots.isEmpty()
-        && now - since > (spoke ? limits.idleNanos() : limits.commandNanos())) {
+        && now - since > (spoke ? connections.restNanos() : limits.commandNanos())) {
       connections.busy(this);
       closeWhenWritten();
     }
--- a/src/main/java/beamspread/node/Rehearsal.java
+++ b/src/main/java/beamspread/node/Rehearsal.java
@@ -17,6 +17,7 @@
 import java.net.UnixDomainSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -55,10 +56,12 @@
     Path folder = null;
     try {
       String temporary = System.getenv("TMPDIR");
+      Path base = Path.of(temporary == null || temporary.isEmpty() ? "/tmp" : temporary);
+      // A name of its own, not a random one: the library's would load all of the cryptography.
       folder =
-          temporary == null || temporary.isEmpty()
-              ? Files.createTempDirectory("r")
-              : Files.createTempDirectory(Path.of(temporary), "r");
+          Files.createDirectory(
+              base.resolve("r" + ProcessHandle.current().pid() + "-" + System.nanoTime()),
+              PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rwx------")));
       return new Rehearsal(config, folder).run();
     } catch (IOException | RuntimeException | InterruptedException e) {
       log.failure("no rehearsal", e);
--- a/src/test/java/beamspread/node/BadClientsTest.java
+++ b/src/test/java/beamspread/node/BadClientsTest.java
@@ -18,7 +18,7 @@
   private static final long LONG = 60_000_000_000L;
 
   private static ClientConnections.Limits limits(int connections, long command, long idle) {
-    return new ClientConnections.Limits(connections, command, idle, LONG, LONG);
+    return new ClientConnections.Limits(connections, command, idle, idle, LONG, LONG);
   }
 
   @ParameterizedTest
@@ -58,10 +58,32 @@
     }
   }
 
+  @Test
+  void whoAskOnceAndKeepTheirConnectionLeaveRoom() throws Exception {
+    ClientConnections.Limits limits =
+        new ClientConnections.Limits(9, LONG, LONG, SHORT, LONG, LONG);
+    List<Peers.Client> clients = new ArrayList<>();
+    try (Peers.Server server = new Peers.Server(Peers::good);
+        Peers.Rig rig = new Peers.Rig(limits, server)) {
+      for (int i = 0; i < 9; i++) {
+        clients.add(rig.client());
+        assertEquals("VA 5 O" + i, clients.get(i).read("" + i).line());
+        clients.get(i).line();
+      }
+      // The one that has waited longest goes first, long before any is idle for too long.
+      assertNull(clients.get(0).line());
+    } finally {
+      for (Peers.Client client : clients) {
+        client.close();
+      }
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"", "mg key v O1 Pc=read,d=2000\r\n"})
   void areHeldUpOnceTheyAreTurnedAway(String owed) throws Exception {
-    ClientConnections.Limits limits = new ClientConnections.Limits(9, LONG, LONG, LONG, SHORT);
+    ClientConnections.Limits limits =
+        new ClientConnections.Limits(9, LONG, LONG, LONG, LONG, SHORT);
     try (Peers.Server server = new Peers.Server(line -> null);
         Peers.Rig rig = new Peers.Rig(limits, server);
         Peers.Client client = rig.client()) {
