--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -5,11 +5,11 @@
 import beamspread.model.Request;
 import beamspread.model.Settings;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.ToDoubleFunction;
 
 /**
  * Decides where requests go: Random Jump Consistent Hashing over the servers of the list, with a
@@ -218,15 +218,9 @@
     rateAt = Double.isNaN(rateAt) ? now : rateAt;
     if (now - rateAt >= 1) {
       // Shares are relative: what strains all servers alike moves no key.
-      greatestShare = 0.02;
-      double[] strains = new double[ready.size()];
-      for (int i = 0; i < strains.length; i++) {
-        greatestShare = Math.max(greatestShare, ready.get(i).share(now));
-        strains[i] = ready.get(i).strain(now);
-      }
+      greatestShare = Math.max(0.02, ranked(server -> server.share(now), 1));
+      usualStrain = ranked(server -> server.strain(now), 0.5);
       fewFailing = 3 * ready.stream().filter(s -> s.unserved > 1).count() < ready.size();
-      Arrays.sort(strains);
-      usualStrain = strains.length == 0 ? 0 : strains[strains.length / 2];
       double weight = 0;
       for (ServerHealth server : ready) {
         weight += server.warmth(now) >= 1 && !server.suspect() ? weight(server) : 0;
@@ -322,7 +316,10 @@
   /** The final answer of a request that no server answered. */
   private void answer(PendingRequest p) {
     if (p.out == 0 && p.mayRefuse()) {
-      actions.refuse(p.request.id(), 0);
+      // Spread out over an aim, lest those that were refused together come back together.
+      boolean advises = settings.limits().advisesRetry();
+      double later = advises ? p.type.aim() * (0.5 + random.nextDouble()) : 0;
+      actions.refuse(p.request.id(), Math.min(settings.limits().maxRetryAfter(), later));
     } else {
       actions.fail(p.request.id());
     }
@@ -427,7 +424,12 @@
       boolean failed = outcome.blamesServer() || outcome.result() == Outcome.Result.ERROR;
       failed |= ok && late && outcome.note() != Outcome.Note.HIT;
       server.fetched(ok && !late, failed);
-      List<PendingRequest> followers = guard.over(now, p, ok && !late, failed, originLosses());
+      // The origin's losses are those at the quarter of servers where fewest fetches fail, since an
+      // overdriven one fails all alike. Guards against servers that lose fetches for a cause of
+      // their own (few places, a bad link, a vanished machine), for which the window would shut all
+      // others off. It could do harm where servers see few fetches: trouble is noticed later.
+      double losses = ranked(other -> other.fetchLosses, 0.25);
+      List<PendingRequest> followers = guard.over(now, p, ok && !late, failed, losses);
       for (PendingRequest follower : followers) {
         if (follower.waiting && !follower.answered) {
           resume(now, follower);
@@ -439,15 +441,10 @@
     }
   }
 
-  /**
-   * The share of fetches that the origin loses: at the quarter of servers where fewest fail, since
-   * an overdriven one fails all alike. Guards against servers that lose fetches for a cause of
-   * their own (few places, a bad link, a vanished machine), for which the window would shut all
-   * others off. It could do harm where servers see few fetches: trouble is noticed later.
-   */
-  private double originLosses() {
-    double[] losses = ready.stream().mapToDouble(s -> s.fetchLosses).sorted().toArray();
-    return losses.length == 0 ? 0 : losses[losses.length / 4];
+  /** A figure of the ready server at this part of their order by it; 0 if there is none. */
+  private double ranked(ToDoubleFunction<ServerHealth> figure, double part) {
+    double[] all = ready.stream().mapToDouble(figure).sorted().toArray();
+    return all.length == 0 ? 0 : all[(int) Math.min(all.length - 1, part * all.length)];
   }
 
   /** Whether a server is strained beyond the others, so that the cause is its own. */
--- a/src/test/java/beamspread/policy/FailuresTest.java
+++ b/src/test/java/beamspread/policy/FailuresTest.java
@@ -354,6 +354,27 @@
         0.005);
   }
 
+  @Test
+  void whoIsRefusedIsToldWhenToComeBackWhereThatIsTheCustom() {
+    for (boolean custom : new boolean[] {true, false}) {
+      Settings.Limits limits =
+          new Settings.Limits(4, true, true, false, false, custom, 0.6, 0.1, 60, 32);
+      Rig.Recorder recorder = new Rig.Recorder();
+      Balancer none = new Balancer(Rig.settings(false, limits), 1, recorder);
+      for (int i = 0; i < 50; i++) {
+        none.request(100, Rig.request("r" + i, "k", "safe", 1));
+      }
+      List<Double> advice = recorder.of("refuse").stream().map(Rig.Act::value).distinct().toList();
+      assertEquals(50, recorder.of("refuse").size());
+      if (custom) {
+        assertTrue(advice.size() > 10, "spread out");
+        assertTrue(advice.stream().allMatch(after -> after >= 0.25 && after <= 0.6));
+      } else {
+        assertEquals(List.of(0.0), advice);
+      }
+    }
+  }
+
   @Test
   void theDearerACrossingTheRarerAKeyThatStaysInItsZone() {
     long[] crossed = new long[2];
--- a/src/test/java/beamspread/policy/Rig.java
+++ b/src/test/java/beamspread/policy/Rig.java
@@ -65,6 +65,12 @@
   private Rig() {}
 
   static Settings settings(boolean asks, int maxAttempts, boolean parallel) {
+    return settings(
+        asks,
+        new Settings.Limits(maxAttempts, parallel, true, false, false, false, 1, 0.1, 60, 32));
+  }
+
+  static Settings settings(boolean asks, Settings.Limits limits) {
     return new Settings(
         "a",
         List.of("a", "b"),
@@ -74,7 +80,7 @@
         asks,
         Settings.Weights.NONE,
         new Settings.CacheMode(false, null, 0, 0),
-        new Settings.Limits(maxAttempts, parallel, true, false, false, false, 1, 0.1, 60, 32),
+        limits,
         new Settings.Contract(0.02, 10, 2, 0.1, 20, 3, 2),
         new Settings.Prices(0, 0, 0, 0, 0, 0, 0, 0, 0),
         List.of(
