Connections being given up count among those that a server holds

ServerConnection.abandon then retired the connection of each, which stayed open for the others on it, and ServerPool.send left those out of its count: 6 to 9 a pool waiting for their end beside 6 in use. Two nodes thus went past what a server takes; new connections were answered busy within 1 ms and closed (up to 373 a second at one node), their strain cut the shares to 2%, and 205 connections a second were opened to one server.

Ruled out: fetch places (busy came in 1 ms, writes too), the origin (losses only after the jam began), descriptors (93 sockets of 131).

Mend: a connection on which answers still come stays in use after a time-out, and at most two may be opened beyond a pool's number while others wait for their end. It could do harm where many connections to a server that hangs wait for long deadlines: then only two tell whether it still runs.

A test over sockets for this bound is still missing: the first attempt at one did not fail without the change.

--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -38,6 +38,12 @@
   /** Connections to one server, over all nodes together, that this tier opens of itself. */
   private static final int TIER_CONNECTIONS = 12;
 
+  /**
+   * Connections to one server beyond these while others wait for their end: enough to learn whether
+   * a silent server still runs, few enough that one which takes no more of them is not overrun.
+   */
+  private static final int LEAVING_CONNECTIONS = 2;
+
   private final NodeConfig config;
   private final MultiThreadIoEventLoopGroup group;
   private final EventLoop loop;
@@ -91,6 +97,7 @@
     var limits = config.settings().limits();
     return new ServerPool.Limits(
         Math.max(1, TIER_CONNECTIONS / config.settings().instances()),
+        LEAVING_CONNECTIONS,
         // Where a request may not have two attempts out, one that is given up must be off its
         // connection before the next goes out: nothing may share it.
         limits.parallelAttempts() ? Math.max(1, limits.perConnection()) : 1,
--- a/src/main/java/beamspread/node/ServerConnection.java
+++ b/src/main/java/beamspread/node/ServerConnection.java
@@ -147,8 +147,12 @@
       return;
     }
     awaited--;
-    // Guards against writing more behind an attempt that may never be answered.
-    retire();
+    // Guards against writing more behind an attempt that may never be answered. Where others wait
+    // here and answers still come, this one's is due as well: a connection that only waits for its
+    // end would be one more at a server that takes few, just when it is slow.
+    if (awaited == 0 || heardAt - attempt.sentAt < 0) {
+      retire();
+    }
     if (overdue && heardAt - attempt.sentAt < 0) {
       pool.suspectSilence(attempt.sentAt);
     }
--- a/src/main/java/beamspread/node/ServerPool.java
+++ b/src/main/java/beamspread/node/ServerPool.java
@@ -24,12 +24,14 @@
    * What bounds the connections to each server.
    *
    * @param connections how many this node opens at most
+   * @param leaving how many more may be open while others are being given up
    * @param depth how many attempts may be under way on one
    * @param sockets how many may be open to all servers together
    * @param idleNanos how long one is kept that is not in use
    * @param stuckNanos how long a reply may be half here
    */
-  record Limits(int connections, int depth, int sockets, long idleNanos, long stuckNanos) {}
+  record Limits(
+      int connections, int leaving, int depth, int sockets, long idleNanos, long stuckNanos) {}
 
   private final Bootstrap bootstrap;
   private final Limits limits;
@@ -115,7 +117,8 @@
       waiting.add(attempt);
       return;
     }
-    if (usable() + connecting < cap()) {
+    if (usable() + connecting < cap()
+        && connections.size() + connecting < cap() + limits.leaving()) {
       if (connecting > waiting.size() || connect()) {
         waiting.add(attempt);
         return;
