--- a/src/test/java/beamspread/node/TroubledServersTest.java
+++ b/src/test/java/beamspread/node/TroubledServersTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -102,6 +103,43 @@
     }
   }
 
+  @Test
+  void connectionsThatAreGivenUpCountAmongThoseOfAServer() throws Exception {
+    List<Peers.Client> clients = new ArrayList<>();
+    try (Peers.Server silent = new Peers.Server(line -> null);
+        Peers.Rig rig = new Peers.Rig(CALM, silent)) {
+      for (int i = 0; i < 12; i++) {
+        clients.add(rig.client().read("held" + i));
+      }
+      Peers.await("all are held", () -> silent.lines.size() == 12);
+      for (int i = 0; i < 8; i++) {
+        clients.add(write(rig, "short" + i, 100));
+      }
+      for (Peers.Client client : clients.subList(12, 20)) {
+        assertEquals("SERVER_ERROR failed", client.line());
+      }
+      long began = System.nanoTime();
+      for (int i = 0; i < 12; i++) {
+        clients.add(write(rig, "next" + i, 5000));
+      }
+      // On a slow machine the module may have begun to refuse by now: then fewer are sent.
+      Peers.await(
+          "the next are sent",
+          () -> silent.lines.size() == 32 || System.nanoTime() - began > 3_000_000_000L);
+      int open = silent.connections.size();
+      assertTrue(open <= 8, open + " connections");
+    } finally {
+      for (Peers.Client client : clients) {
+        client.close();
+      }
+    }
+  }
+
+  private static Peers.Client write(Peers.Rig rig, String id, int millis) throws IOException {
+    return rig.client()
+        .send("ms key-" + id + " 5 O" + id + " Pc=put,d=" + millis + "\r\nworld\r\n");
+  }
+
   private static void both(Peers.Client one, Peers.Client other, String id) {
     try {
       one.read(id + "a");
@@ -110,7 +148,7 @@
         assertTrue(client.line().startsWith("VA 5 O" + id));
         client.line();
       }
-    } catch (java.io.IOException e) {
+    } catch (IOException e) {
       throw new AssertionError(e);
     }
   }
