A test that waits until a server refuses connections

oneRefusedConnectionIsNoLimitForLong failed once (two connections in place of one): the close of a listening socket takes effect only when the thread that accepts has seen it. The stand-in now tries until it is refused.

--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -7,10 +7,12 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketAddress;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -90,7 +92,16 @@
 
     /** Refuses new connections and keeps those it has. */
     void refuse() throws IOException {
+      SocketAddress address = listener.getLocalSocketAddress();
       listener.close();
+      // The close takes effect only once the thread that accepts has seen it.
+      for (boolean refused = false; !refused; ) {
+        try (Socket probe = new Socket()) {
+          probe.connect(address, PATIENCE_MILLIS);
+        } catch (ConnectException e) {
+          refused = true;
+        }
+      }
     }
 
     /** Takes new connections again, at the same address. */
--- a/src/test/java/beamspread/node/TroubledServersTest.java
+++ b/src/test/java/beamspread/node/TroubledServersTest.java
@@ -91,7 +91,7 @@
       one.line();
       server.refuse();
       both(one, other, "refused");
-      assertEquals(1, server.connections.size());
+      Peers.await("one is left", () -> server.connections.size() == 1);
       server.listenAgain();
       int[] round = {0};
       Peers.await(
