Refuse settings without the figures a node needs; a least distance between calls to discovery

Need: a configuration whose settings lack the contract was read as zeros. The node then asked discovery thousands of times a second, each call ending the one before. Operators of many nodes also need to know whether a node took a new file; the log was the only place that told.

Change: SettingsCheck names every missing or non-positive figure in one message, at the start (exit 2) and on reload (the old configuration stays). Watches keep 200 ms between them whatever the settings say. A configuration may name status_socket, a Unix domain socket on which the node tells process, listening address, digest and generation of its configuration, the reason of a refused file, requests, connections, servers by state and whether it drains; without the name nothing is opened. An address to listen on may have port 0, so that the process tests need no port of their own to be free (one run of the old ones failed that way).

--- a/src/main/java/beamspread/node/ClientConnections.java
+++ b/src/main/java/beamspread/node/ClientConnections.java
@@ -152,6 +152,10 @@
     }
   }
 
+  int count() {
+    return open.size();
+  }
+
   boolean draining() {
     return draining;
   }
--- a/src/main/java/beamspread/node/DiscoveryClient.java
+++ b/src/main/java/beamspread/node/DiscoveryClient.java
@@ -42,6 +42,12 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 2000;
   private static final long RETRY_MILLIS = 500;
 
+  /**
+   * Least time from one watch to the next, whoever wants one and whatever the settings say. Guards
+   * discovery, which is small and shared, against a node that has lost its measure.
+   */
+  private static final long LEAST_DISTANCE_NANOS = 200_000_000L;
+
   /** Longest line, for thousands of servers. */
   private static final int MAX_LINE = 4 << 20;
 
@@ -59,6 +65,10 @@
   private boolean anew;
 
   private Call watch;
+  private long followedAt = System.nanoTime() - LEAST_DISTANCE_NANOS;
+
+  /** Whether a watch is to begin as soon as its distance from the last one allows. */
+  private boolean due;
 
   DiscoveryClient(
       EventLoop loop,
@@ -77,8 +87,22 @@
 
   /** Follows the changes from the version last seen on. */
   void follow() {
-    stop();
-    watch = new Call(true);
+    long early = followedAt + LEAST_DISTANCE_NANOS - System.nanoTime();
+    if (early <= 0) {
+      stop();
+      followedAt = System.nanoTime();
+      watch = new Call(true);
+    } else if (!due) {
+      due = true;
+      loop.schedule(this::followIfDue, early, TimeUnit.NANOSECONDS);
+    }
+  }
+
+  private void followIfDue() {
+    if (due) {
+      due = false;
+      follow();
+    }
   }
 
   /** Follows the service at another address from now on; until it answers, the list stays. */
@@ -90,6 +114,7 @@
 
   /** Stops following. */
   void stop() {
+    due = false;
     if (watch != null) {
       watch.end();
       watch = null;
--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -87,10 +87,7 @@
       log.line("discovery moves to " + changed.discovery());
       discovery.move(changed.discovery());
     }
-    if (!changed.settings().equals(config.settings())
-        || !changed.listen().equals(config.listen())
-        || changed.sockets() != config.sockets()
-        || changed.memoryMb() != config.memoryMb()) {
+    if (changed.needsRestart(config)) {
       log.line("new settings, limits or listening address: taken over at the next start");
     }
     config = changed;
@@ -145,6 +142,10 @@
     }
   }
 
+  int openRequests() {
+    return open.size();
+  }
+
   void report(String where, Throwable cause) {
     log.failure(where, cause);
   }
--- a/src/main/java/beamspread/node/MemberList.java
+++ b/src/main/java/beamspread/node/MemberList.java
@@ -64,12 +64,21 @@
 
   /** An address and port written in figures: there is no DNS. */
   static InetSocketAddress address(String text) throws WireException {
+    return address(text, 1);
+  }
+
+  /** As an address to listen on: port 0 has the system choose one, which the status tells. */
+  static InetSocketAddress listenAddress(String text) throws WireException {
+    return address(text, 0);
+  }
+
+  private static InetSocketAddress address(String text, int leastPort) throws WireException {
     int colon = text.lastIndexOf(':');
     byte[] ip =
         colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
     try {
       int port = Integer.parseInt(text.substring(colon + 1));
-      if (ip != null && port > 0 && port < 1 << 16) {
+      if (ip != null && port >= leastPort && port < 1 << 16) {
         return new InetSocketAddress(InetAddress.getByAddress(ip), port);
       }
     } catch (NumberFormatException | UnknownHostException e) {
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -12,6 +12,9 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -56,6 +59,9 @@
   private final Log log = new Log();
   private final CountDownLatch drained = new CountDownLatch(1);
   private Channel listener;
+  private StatusSocket statusSocket;
+  private NodeStatus.Configuration configuration;
+  private boolean draining;
 
   /** A node that is not listening yet. */
   Node(NodeConfig config) {
@@ -106,11 +112,39 @@
         STUCK_NANOS);
   }
 
+  /** Tells the status where the configuration says so. */
+  private void tellStatus() throws IOException, InterruptedException {
+    if (config.statusSocket() != null) {
+      statusSocket = StatusSocket.open(loop, config.statusSocket(), this::status);
+    }
+  }
+
+  private static String digest(byte[] bytes) {
+    try {
+      return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private NodeStatus status() {
+    return new NodeStatus(
+        configuration,
+        listener.localAddress().toString().replace("/", ""),
+        dispatcher.openRequests(),
+        clients.count(),
+        pools.sockets(),
+        pools.states(),
+        draining);
+  }
+
   /** Runs a node until it is told to end; returns the exit code. */
   public static int serve(String configFile) throws InterruptedException {
     NodeConfig config;
+    byte[] bytes;
     try {
-      config = NodeConfig.load(configFile);
+      bytes = NodeConfig.read(configFile);
+      config = NodeConfig.load(configFile, bytes);
     } catch (WireException e) {
       System.err.println("serve: " + e.getMessage());
       return 2;
@@ -118,6 +152,10 @@
     Log log = new Log();
     Rehearsal.run(config, log);
     Node node = new Node(config);
+    if (config.statusSocket() != null) {
+      String digest = digest(bytes);
+      node.configuration = new NodeStatus.Configuration(1, digest, 1, digest, null, false);
+    }
     if (!Hangup.handle(() -> node.reload(configFile))) {
       node.log.line("SIGHUP cannot be handled here: no reload");
     }
@@ -128,6 +166,13 @@
       node.close();
       return 1;
     }
+    try {
+      node.tellStatus();
+    } catch (IOException | RuntimeException e) {
+      System.err.println("serve: " + e.getMessage());
+      node.close();
+      return 1;
+    }
     Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
     node.drained.await();
     return 0;
@@ -181,11 +226,24 @@
    * changes nothing: the node goes on as it was.
    */
   void reload(String configFile) {
+    byte[] bytes = null;
     try {
-      NodeConfig changed = NodeConfig.load(configFile);
-      loop.execute(() -> dispatcher.reload(changed));
+      bytes = NodeConfig.read(configFile);
+      NodeConfig changed = NodeConfig.load(configFile, bytes);
+      String digest = configuration == null ? null : digest(bytes);
+      loop.execute(
+          () -> {
+            dispatcher.reload(changed);
+            if (digest != null) {
+              configuration = configuration.accepted(digest, changed.needsRestart(config));
+            }
+          });
     } catch (WireException | RuntimeException e) {
       log.line("the old configuration stays: " + e.getMessage());
+      if (configuration != null) {
+        String digest = bytes == null ? "" : digest(bytes);
+        loop.execute(() -> configuration = configuration.refused(digest, e.getMessage()));
+      }
     }
   }
 
@@ -194,6 +252,7 @@
    * it falls idle; returns when all is answered, or when the longest deadline has passed.
    */
   void drain() {
+    loop.execute(() -> draining = true);
     loop.schedule(
         () -> {
           listener.close();
@@ -204,6 +263,9 @@
     try {
       long millis = (long) (config.longestDeadline() * 1e3) + ACCEPT_MILLIS + 100;
       drained.await(millis, TimeUnit.MILLISECONDS);
+      if (statusSocket != null) {
+        statusSocket.close();
+      }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/src/main/java/beamspread/node/NodeConfig.java
+++ b/src/main/java/beamspread/node/NodeConfig.java
@@ -6,9 +6,12 @@
 import beamspread.sim.WireException;
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Objects;
 
 /**
  * What the platform tells a node.
@@ -20,6 +23,8 @@
  * @param memoryMb memory that the process may hold
  * @param known the list of servers as this node last had it
  * @param settings the object that an instance in the simulator is told
+ * @param statusSocket the file of the Unix domain socket on which the node tells its status; null
+ *     for none
  */
 record NodeConfig(
     SocketAddress listen,
@@ -28,17 +33,25 @@
     int sockets,
     int memoryMb,
     MemberList known,
-    Settings settings) {
+    Settings settings,
+    String statusSocket) {
 
-  /** Reads the file of this name, usually from {@code ROUTER_CONFIG}. */
-  static NodeConfig load(String file) throws WireException {
+  /** The bytes of the file of this name, usually from {@code ROUTER_CONFIG}. */
+  static byte[] read(String file) throws WireException {
     if (file == null || file.isEmpty()) {
       throw new WireException("ROUTER_CONFIG does not name a file");
     }
     try {
-      return parse(Message.parse(Files.readString(Path.of(file))));
+      return Files.readAllBytes(Path.of(file));
     } catch (IOException | InvalidPathException | SecurityException e) {
       throw new WireException("cannot read " + file);
+    }
+  }
+
+  /** Takes what was read from the file of this name. */
+  static NodeConfig load(String file, byte[] bytes) throws WireException {
+    try {
+      return parse(Message.parse(new String(bytes, StandardCharsets.UTF_8)));
     } catch (WireException e) {
       throw new WireException(file + ": " + e.getMessage());
     }
@@ -46,18 +59,21 @@
 
   static NodeConfig parse(Message config) throws WireException {
     Message limits = config.requiredNested("limits");
-    Settings settings = Dialect.settings(config.requiredNested("settings"));
-    if (settings.services().isEmpty()) {
-      throw new WireException("settings without services");
+    Message told = config.requiredNested("settings");
+    Settings settings = Dialect.settings(told);
+    List<String> faults = SettingsCheck.faults(told);
+    if (!faults.isEmpty()) {
+      throw new WireException("settings: " + String.join("; ", faults));
     }
     return new NodeConfig(
-        MemberList.address(config.requiredText("listen")),
+        MemberList.listenAddress(config.requiredText("listen")),
         MemberList.address(config.requiredText("discovery")),
         seed(config.requiredText("seed")),
         (int) limits.requiredNumber("sockets"),
         (int) limits.requiredNumber("memory_mb"),
         MemberList.parse(config.requiredNested("known")),
-        settings);
+        settings,
+        config.text("status_socket", null));
   }
 
   private static long seed(String text) throws WireException {
@@ -68,6 +84,17 @@
     }
   }
 
+  /**
+   * Whether a node that was started with another configuration takes this one over in part only.
+   */
+  boolean needsRestart(NodeConfig started) {
+    return !settings.equals(started.settings)
+        || !listen.equals(started.listen)
+        || sockets != started.sockets
+        || memoryMb != started.memoryMb
+        || !Objects.equals(statusSocket, started.statusSocket);
+  }
+
   /** The longest time that a client may wait, in seconds. */
   double longestDeadline() {
     return settings.services().stream()
--- /dev/null
+++ b/src/main/java/beamspread/node/NodeStatus.java
@@ -0,0 +1,89 @@
+package beamspread.node;
+
+import beamspread.model.ServerEntry;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.util.Map;
+
+/**
+ * What a node says of itself, as one JSON object on one line.
+ *
+ * @param configuration how the readings of the configuration fared
+ * @param listen where clients connect
+ * @param openRequests requests taken and not answered
+ * @param clientConnections connections of clients
+ * @param serverConnections sockets to cache servers: open, coming up, or being given up
+ * @param servers how many cache servers the list names in each state
+ * @param draining whether a planned restart has begun
+ */
+record NodeStatus(
+    Configuration configuration,
+    String listen,
+    int openRequests,
+    int clientConnections,
+    int serverConnections,
+    Map<ServerEntry.State, Integer> servers,
+    boolean draining) {
+
+  /**
+   * How the readings of the configuration fared. A reading is over, for good or ill, when {@code
+   * readings} has grown.
+   *
+   * @param generation which accepted configuration the node runs, 1 for that of its start
+   * @param digest SHA-256 of the file that it runs, in hexadecimal
+   * @param readings how often the file was read, the start included
+   * @param triedDigest SHA-256 of the file that was read last; empty if it could not be read
+   * @param refusal why the last reading changed nothing; null if it was taken over
+   * @param needsRestart whether parts of what was accepted wait for the next start
+   */
+  record Configuration(
+      long generation,
+      String digest,
+      long readings,
+      String triedDigest,
+      String refusal,
+      boolean needsRestart) {
+
+    /** The state after one more reading that was taken over. */
+    Configuration accepted(String newDigest, boolean restart) {
+      return new Configuration(generation + 1, newDigest, readings + 1, newDigest, null, restart);
+    }
+
+    /** The state after one more reading that was refused. */
+    Configuration refused(String badDigest, String why) {
+      return new Configuration(generation, digest, readings + 1, badDigest, why, needsRestart);
+    }
+  }
+
+  private static final JsonFactory FACTORY = new JsonFactory();
+
+  String json() {
+    StringWriter text = new StringWriter();
+    try (JsonGenerator json = FACTORY.createGenerator(text)) {
+      json.writeStartObject();
+      json.writeNumberField("pid", ProcessHandle.current().pid());
+      json.writeStringField("listen", listen);
+      json.writeNumberField("generation", configuration.generation());
+      json.writeStringField("digest", configuration.digest());
+      json.writeNumberField("readings", configuration.readings());
+      json.writeStringField("tried_digest", configuration.triedDigest());
+      json.writeStringField("refusal", configuration.refusal());
+      json.writeBooleanField("needs_restart", configuration.needsRestart());
+      json.writeNumberField("open_requests", openRequests);
+      json.writeNumberField("client_connections", clientConnections);
+      json.writeNumberField("server_connections", serverConnections);
+      json.writeObjectFieldStart("servers");
+      json.writeNumberField("active", servers.getOrDefault(ServerEntry.State.READY, 0));
+      json.writeNumberField("leaving", servers.getOrDefault(ServerEntry.State.DRAINING, 0));
+      json.writeEndObject();
+      json.writeBooleanField("draining", draining);
+      json.writeEndObject();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return text.append('\n').toString();
+  }
+}
--- a/src/main/java/beamspread/node/Rehearsal.java
+++ b/src/main/java/beamspread/node/Rehearsal.java
@@ -104,7 +104,8 @@
             config.sockets(),
             config.memoryMb(),
             new MemberList(true, 1, members),
-            config.settings());
+            config.settings(),
+            null);
     Node node = new Node(rehearsed, ClientConnections.Limits.usual(8), Transport.DOMAIN);
     try {
       EventLoop loop = node.loop();
@@ -233,6 +234,8 @@
              "limits":{"sockets":256,"memory_mb":64},
              "known":{"version":1,"full":true,"servers":[]},
              "settings":{"instances":2,"discovery":"ask",
+              "contract":{"grace-to-answer":0.02,"ask-within":10,"drain-grace":2,"cold-from":0.1,
+               "warm-within":20,"overload-factor":3,"overload-for":2},
               "services":[{"name":"read","slo":1,"give-up":2,"effect":"retryable"},
                {"name":"put","slo":1,"give-up":2,"effect":"fragile"}],
               "caps":{"attempts-cap":6,"cancel":true,"connect-timeout":1,"conn-idle":60,
--- a/src/main/java/beamspread/node/ServerPool.java
+++ b/src/main/java/beamspread/node/ServerPool.java
@@ -1,6 +1,7 @@
 package beamspread.node;
 
 import beamspread.model.Outcome;
+import beamspread.model.ServerEntry;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ConnectTimeoutException;
@@ -39,6 +40,7 @@
   private final Dispatcher dispatcher;
   private final List<ServerConnection> connections = new ArrayList<>();
   private final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
+  private ServerEntry.State state = ServerEntry.State.READY;
   private SocketAddress address;
   private int connecting;
   private int cap;
@@ -68,10 +70,11 @@
    * The list has the server here, started at this time. Connections to another address, or older
    * than the process, lead nowhere: they are not used again.
    */
-  void listed(SocketAddress at, double startedAt, double now) {
+  void listed(SocketAddress at, ServerEntry entry, double now) {
     address = at;
-    if (startedAt > 0) {
-      started = System.nanoTime() - (long) (Math.max(0, now - startedAt) * 1e9);
+    state = entry.state();
+    if (entry.startedAt() > 0) {
+      started = System.nanoTime() - (long) (Math.max(0, now - entry.startedAt()) * 1e9);
     }
     for (ServerConnection connection : List.copyOf(connections)) {
       if (leadsNowhere(connection)) {
@@ -80,6 +83,11 @@
     }
   }
 
+  /** What the list says of the server. */
+  ServerEntry.State state() {
+    return state;
+  }
+
   private boolean leadsNowhere(ServerConnection connection) {
     return left
         || !connection.address().equals(address)
--- a/src/main/java/beamspread/node/ServerPools.java
+++ b/src/main/java/beamspread/node/ServerPools.java
@@ -3,6 +3,7 @@
 import beamspread.model.Outcome;
 import beamspread.model.ServerEntry;
 import io.netty.bootstrap.Bootstrap;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -37,7 +38,7 @@
       ServerPool pool =
           pools.computeIfAbsent(
               entry.id(), id -> new ServerPool(bootstrap, limits, this, owner, member.address()));
-      pool.listed(member.address(), entry.startedAt(), now);
+      pool.listed(member.address(), entry, now);
     }
     for (long id : gone) {
       ServerPool pool = pools.remove(id);
@@ -71,6 +72,19 @@
     return true;
   }
 
+  int sockets() {
+    return sockets;
+  }
+
+  /** How many servers the list names in each state. */
+  Map<ServerEntry.State, Integer> states() {
+    Map<ServerEntry.State, Integer> states = new EnumMap<>(ServerEntry.State.class);
+    for (ServerPool pool : pools.values()) {
+      states.merge(pool.state(), 1, Integer::sum);
+    }
+    return states;
+  }
+
   void giveSocketBack() {
     sockets--;
   }
--- /dev/null
+++ b/src/test/java/beamspread/node/DiscoveryPaceTest.java
@@ -0,0 +1,64 @@
+package beamspread.node;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beamspread.model.Settings;
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Calls to discovery keep their distance, whatever the settings make of it. */
+class DiscoveryPaceTest {
+  @Test
+  void aNodeWithoutAnyFigureDoesNotRunDiscoveryDown() throws Exception {
+    Settings good =
+        Peers.settings(new Settings.Limits(6, true, true, false, false, false, 1, 2, 60, 32));
+    Settings blank =
+        new Settings(
+            good.zone(),
+            good.zones(),
+            good.kinds(),
+            0,
+            1,
+            true,
+            good.weights(),
+            good.cache(),
+            good.limits(),
+            new Settings.Contract(0, 0, 0, 0, 0, 0, 0),
+            good.prices(),
+            good.services(),
+            good.tenants(),
+            1,
+            0);
+    try (Peers.Server silent = new Peers.Server(line -> null)) {
+      Node node =
+          new Node(
+              new NodeConfig(
+                  new InetSocketAddress("127.0.0.1", 0),
+                  silent.address(),
+                  1,
+                  256,
+                  64,
+                  new MemberList(true, 1, List.of()),
+                  blank,
+                  null),
+              ClientConnections.Limits.usual(16),
+              Transport.TCP);
+      try {
+        long began = System.nanoTime();
+        node.start();
+        // The feed asks at each turn of the loop. So many calls are soon reached either way.
+        Peers.await("eight calls", () -> calls(silent) >= 8);
+        int calls = calls(silent);
+        long millis = (System.nanoTime() - began) / 1_000_000;
+        assertTrue(calls <= 2 + millis / 200, calls + " calls in " + millis + " ms");
+      } finally {
+        node.close();
+      }
+    }
+  }
+
+  private static int calls(Peers.Server discovery) {
+    return (int) discovery.lines.stream().filter(line -> line.startsWith("GET ")).count();
+  }
+}
--- a/src/test/java/beamspread/node/NodeProcessTest.java
+++ b/src/test/java/beamspread/node/NodeProcessTest.java
@@ -2,15 +2,24 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beamspread.sim.Message;
+import beamspread.sim.WireException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.channels.Channels;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -23,31 +32,37 @@
   private InetSocketAddress listen;
 
   @BeforeEach
-  void findAPort() throws IOException {
+  void nameFiles() {
     config = folder.resolve("config.json");
     log = folder.resolve("log");
-    try (ServerSocket free = new ServerSocket(0)) {
-      listen = new InetSocketAddress("127.0.0.1", free.getLocalPort());
-    }
   }
 
   private void configure(Peers.Server discovery, Peers.Server server) throws IOException {
     Files.writeString(
         config,
         """
-        {"name":"n0","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"1f",
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"1f",
+         "status_socket":"%s",
          "limits":{"cores":1,"memory_mb":64,"sockets":256},"known":%s,
          "settings":{"zone":"a","azs":["a"],"kinds":["box"],"instances":1,"discovery":"ask",
           "caps":{"attempts-cap":6,"cancel":true,"connect-timeout":1,"conn-idle":60,"multiplex":32,
            "parallel-tries":true},
-          "contract":{"ask-within":10,"drain-grace":2,"warm-within":10,"cold-from":0.5},
+          "contract":{"ask-within":10,"drain-grace":2,"warm-within":10,"cold-from":0.5,
+           "overload-factor":3,"overload-for":2},
           "services":[{"name":"read","slo":1,"give-up":2,"effect":"retryable"},
            {"name":"put","slo":1,"give-up":2,"effect":"fragile"}]}}
         """
-            .formatted(listen.getPort(), discovery.address().getPort(), Peers.list(40, server)));
+            .formatted(
+                discovery.address().getPort(), folder.resolve("status"), Peers.list(40, server)));
   }
 
   private Process start() throws IOException, InterruptedException {
+    Process process = launch();
+    Peers.await("the node listens", () -> hello(process));
+    return process;
+  }
+
+  private Process launch() throws IOException {
     ProcessBuilder builder =
         new ProcessBuilder(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -56,13 +71,33 @@
             "beamspread.Main",
             "serve");
     builder.environment().put("ROUTER_CONFIG", config.toString());
-    Process process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
-    Peers.await("the node listens", () -> hello(process));
-    return process;
+    return builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+  }
+
+  private Message status() throws IOException, WireException {
+    try (SocketChannel channel = SocketChannel.open(StandardProtocolFamily.UNIX)) {
+      channel.connect(UnixDomainSocketAddress.of(folder.resolve("status")));
+      return Message.parse(
+          new String(Channels.newInputStream(channel).readAllBytes(), StandardCharsets.ISO_8859_1));
+    }
+  }
+
+  private boolean status(Predicate<Message> holds) {
+    try {
+      return holds.test(status());
+    } catch (IOException | WireException e) {
+      throw new AssertionError(e);
+    }
   }
 
   private boolean hello(Process process) {
     assertTrue(process.isAlive(), "the node has ended");
+    try {
+      String[] at = status().requiredText("listen").split(":");
+      listen = new InetSocketAddress(at[0], Integer.parseInt(at[1]));
+    } catch (IOException | WireException e) {
+      return false;
+    }
     try (Peers.Client client = new Peers.Client(listen)) {
       return "MN".equals(client.send("mn\r\n").line());
     } catch (IOException e) {
@@ -100,6 +135,18 @@
         signal(process, "HUP");
         Peers.await("the new discovery is watched", () -> watched(moved, ""));
         Peers.await("the old one is left", () -> old.connections.isEmpty());
+        Message status = status();
+        assertEquals(2, status.number("generation", 0));
+        assertEquals(2, status.number("readings", 0));
+        assertNull(status.text("refusal", null));
+        assertFalse(status.flag("needs_restart"));
+        String settled = Files.readString(config);
+        Files.writeString(config, settled.replace("\"slo\":1", "\"slo\":0.5"));
+        signal(process, "HUP");
+        Peers.await(
+            "other aims wait for a restart",
+            () -> status(s -> s.number("generation", 0) == 3 && s.flag("needs_restart")));
+        assertNotEquals(status.text("digest", ""), status().text("digest", ""));
         // Its list counts although its version is lower.
         Peers.await(
             "the new list is followed",
@@ -120,6 +167,50 @@
     }
   }
 
+  @Test
+  void aStartWithoutFiguresIsRefusedWithTheirNames() throws Exception {
+    try (Peers.Server server = new Peers.Server(Peers::good);
+        Peers.Server discovery = Peers.discovery(41, server)) {
+      configure(discovery, server);
+      String whole = Files.readString(config);
+      Files.writeString(
+          config,
+          whole.replace("\"contract\"", "\"compact\"").replace("\"give-up\":2", "\"give-up\":0"));
+      Process process = launch();
+      assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+      assertEquals(2, process.exitValue());
+      String told = Files.readString(log);
+      for (String fault :
+          List.of(
+              "contract.ask-within is missing",
+              "contract.overload-for is missing",
+              "services[0].give-up must be above 0")) {
+        assertTrue(told.contains(fault), told);
+      }
+      assertTrue(discovery.lines.isEmpty());
+    }
+  }
+
+  @Test
+  void aStatusSocketLeftByAKilledNodeIsTakenOverAndOneInUseIsNot() throws Exception {
+    try (Peers.Server server = new Peers.Server(Peers::good);
+        Peers.Server discovery = Peers.discovery(41, server)) {
+      configure(discovery, server);
+      start().destroyForcibly().waitFor();
+      assertTrue(Files.exists(folder.resolve("status")));
+      Process second = start();
+      try {
+        Process third = launch();
+        assertTrue(third.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(1, third.exitValue());
+        assertTrue(logged("another process listens there"));
+        assertEquals(second.pid(), (long) status().number("pid", 0));
+      } finally {
+        second.destroyForcibly().waitFor();
+      }
+    }
+  }
+
   @Test
   void aBadFileChangesNothing() throws Exception {
     try (Peers.Server server = new Peers.Server(Peers::good);
@@ -132,6 +223,15 @@
         Files.writeString(config, whole.substring(0, whole.length() / 2));
         signal(process, "HUP");
         Peers.await("the log tells", () -> logged("the old configuration stays"));
+        Peers.await("the status tells", () -> status(s -> s.number("readings", 0) == 2));
+        assertEquals(1, status().number("generation", 0));
+        assertEquals(config + ": not JSON", status().text("refusal", ""));
+        Files.writeString(config, whole.replace("\"drain-grace\":2,", ""));
+        signal(process, "HUP");
+        Peers.await("the next one is refused", () -> status(s -> s.number("readings", 0) == 3));
+        assertEquals(
+            config + ": settings: contract.drain-grace is missing", status().text("refusal", ""));
+        assertNotEquals(status().text("digest", ""), status().text("tried_digest", ""));
         assertEquals("VA 5 O1", client.read("1").line());
         assertEquals(1, discovery.connections.size());
         assertTrue(process.isAlive());
@@ -152,10 +252,18 @@
         assertEquals("MN", idle.send("mn\r\n").line());
         client.send("mg a v O1 Pc=read,d=2000\r\n");
         Peers.await("it goes out", () -> server.lines.size() == 1);
+        Message status = status();
+        assertEquals(1, status.number("open_requests", 0));
+        assertEquals(2, status.number("client_connections", 0));
+        assertEquals(1, status.number("server_connections", 0));
+        assertEquals(1, status.nested("servers").number("active", 0));
+        assertFalse(status.flag("draining"));
         signal(process, "TERM");
         try (Peers.Client late = new Peers.Client(listen)) {
           late.send("mg b v O2 Pc=read,d=2000\r\n");
           Peers.await("the late one goes out", () -> server.lines.size() == 2);
+          Peers.await("the status tells", () -> status(s -> s.flag("draining")));
+          assertEquals(2, status().number("open_requests", 0));
           assertNull(idle.line());
           server.script = Peers::good;
           for (var socket : server.connections) {
@@ -170,6 +278,7 @@
           assertNull(client.line());
         }
         assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertFalse(Files.exists(folder.resolve("status")));
       } finally {
         process.destroyForcibly().waitFor();
       }
--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -304,7 +304,8 @@
                   sockets,
                   64,
                   new MemberList(true, 1, members),
-                  settings(new Settings.Limits(6, true, true, false, false, false, 1, 2, 60, 32))),
+                  settings(new Settings.Limits(6, true, true, false, false, false, 1, 2, 60, 32)),
+                  null),
               limits,
               Transport.TCP);
       address = (InetSocketAddress) node.start();
