An agent that runs, supervises and truthfully reloads instances, and the operators' command line

Need: toward twenty nodes nobody can log into each box; there was no way to see or steer several.

Change: beamspread.agent looks after the instances of a machine. Every step is on record before it begins and told only once its end is. A reload counts when the node's own status says so. HTTP/1.1 and JSON under /v1, loopback unless TLS and a token are set. beamspread.fleet has the inventory, a pure Rollout, a runner that takes all leases before it begins anything, and resume; beamspread.cli the commands, ./beamspread their start.

--- /dev/null
+++ b/src/main/java/beamspread/cli/ActionCommand.java
@@ -0,0 +1,172 @@
+package beamspread.cli;
+
+import beamspread.fleet.AgentCallException;
+import beamspread.fleet.Fleet;
+import beamspread.fleet.Report;
+import beamspread.fleet.Rollout;
+import beamspread.fleet.RolloutPlan;
+import beamspread.fleet.RolloutRunner;
+import beamspread.fleet.Selection;
+import beamspread.fleet.Target;
+import beamspread.fleet.api.Kind;
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import java.security.SecureRandom;
+import java.time.LocalDateTime;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
+import java.util.List;
+import java.util.Map;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/** Something done to the chosen instances, batch by batch. */
+abstract class ActionCommand extends FleetAction {
+  private static final SecureRandom RANDOM = new SecureRandom();
+
+  private final Kind kind;
+
+  @Mixin private SelectOptions select;
+  @Mixin private RunOptions run;
+
+  @Option(names = "--dry-run", description = "print the batches and begin nothing")
+  private boolean dryRun;
+
+  @Option(names = "--by", paramLabel = "NAME", description = "who asks (default: USER@HOST)")
+  private String by;
+
+  ActionCommand(Kind kind) {
+    this.kind = kind;
+  }
+
+  /** Starts instances. */
+  @Command(
+      name = "start",
+      description = "Starts the chosen instances and waits until they are ready.",
+      mixinStandardHelpOptions = true,
+      footer = {"", "Example: ./beamspread fleet start n1 n2"})
+  static final class Start extends ActionCommand {
+    Start() {
+      super(Kind.START);
+    }
+  }
+
+  /** Stops instances. */
+  @Command(
+      name = "stop",
+      description = "Stops the chosen instances: SIGTERM, and SIGKILL if that is not enough.",
+      mixinStandardHelpOptions = true,
+      footer = {"", "Example: ./beamspread fleet stop --zone debrecen --max-unavailable 1"})
+  static final class Stop extends ActionCommand {
+    Stop() {
+      super(Kind.STOP);
+    }
+  }
+
+  /** Restarts instances. */
+  @Command(
+      name = "restart",
+      description = "Stops the chosen instances and starts them again.",
+      mixinStandardHelpOptions = true,
+      footer = {"", "Example: ./beamspread fleet restart --all --max-per-zone 1 --pause 2"})
+  static final class Restart extends ActionCommand {
+    Restart() {
+      super(Kind.RESTART);
+    }
+  }
+
+  /** Reloads instances. */
+  @Command(
+      name = "reload",
+      description =
+          "Has the chosen instances read their configuration again; one counts as"
+              + " reloaded when the node itself says that it took the file.",
+      mixinStandardHelpOptions = true,
+      footer = {"", "Example: ./beamspread fleet reload --all --dry-run"})
+  static final class Reload extends ActionCommand {
+    Reload() {
+      super(Kind.RELOAD);
+    }
+  }
+
+  @Override
+  final int run(Fleet fleet) throws Exception {
+    if (select.empty()) {
+      throw usage("name instances, or say --all, --zone or --agent");
+    }
+    Selection selection = select.selection();
+    var answers = fleet.instances(selection);
+    for (AgentCallException failure : answers.failures().values()) {
+      err().println(failure.getMessage() + "; its instances are left out");
+    }
+    List<Target> targets = selection.of(Fleet.flat(answers));
+    RolloutPlan plan = new RolloutPlan(kind, run.options(kind, targets.size(), this), targets);
+    if (dryRun) {
+      dryRun(plan);
+      return answers.failures().isEmpty() ? 0 : 3;
+    }
+    Report report =
+        new RolloutRunner(
+                fleet, RolloutRunner.Limits.usual(), ReportPrinter.progress(err(), targets.size()))
+            .run(id(kind), by(by), plan, Map.of(), List.of());
+    return tell(this, report, answers.failures().isEmpty());
+  }
+
+  /** Prints a report; the exit code, which also tells of agents that were left out. */
+  static int tell(FleetAction action, Report report, boolean allAgents) {
+    if (action.json()) {
+      action.print(report);
+    } else {
+      ReportPrinter.table(report, action.out());
+    }
+    return allAgents ? report.exitCode() : 3;
+  }
+
+  private void dryRun(RolloutPlan plan) {
+    List<List<Target>> batches = Rollout.batches(plan);
+    if (json()) {
+      print(batches);
+      return;
+    }
+    for (int i = 0; i < batches.size(); i++) {
+      out()
+          .println(
+              "batch "
+                  + (i + 1)
+                  + ": "
+                  + String.join(" ", batches.get(i).stream().map(Target::path).toList()));
+    }
+    out()
+        .println(
+            kind.word()
+                + " of "
+                + plan.targets().size()
+                + " in "
+                + batches.size()
+                + (batches.size() == 1 ? " batch" : " batches")
+                + "; nothing was begun");
+  }
+
+  /** An id that people can tell from others. */
+  static String id(Kind kind) {
+    return kind.word()
+        + "-"
+        + LocalDateTime.now(ZoneOffset.UTC).format(DateTimeFormatter.ofPattern("yyyyMMdd-HHmmss"))
+        + "-"
+        + String.format("%06x", RANDOM.nextInt(1 << 24));
+  }
+
+  static String by(String named) {
+    if (named != null && !named.isBlank()) {
+      return named;
+    }
+    String host;
+    try {
+      host = InetAddress.getLocalHost().getHostName();
+    } catch (UnknownHostException e) {
+      host = "unknown";
+    }
+    return System.getProperty("user.name") + "@" + host;
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/cli/QueryCommand.java
@@ -0,0 +1,112 @@
+package beamspread.cli;
+
+import beamspread.fleet.AgentCallException;
+import beamspread.fleet.Fleet;
+import beamspread.fleet.Target;
+import beamspread.fleet.api.Api;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+/** Asks nodes what they say of themselves now. */
+@Command(
+    name = "query",
+    description = "Asks the chosen nodes for their status now.",
+    mixinStandardHelpOptions = true)
+final class QueryCommand extends FleetAction {
+  @Mixin private SelectOptions select;
+
+  @Override
+  int run(Fleet fleet) throws Exception {
+    var answers = fleet.instances(select.selection());
+    int code = tell(answers.failures());
+    List<Target> targets = select.selection().of(Fleet.flat(answers));
+    Map<String, List<Target>> byAgent = new TreeMap<>();
+    targets.forEach(
+        one -> byAgent.computeIfAbsent(one.agent(), agent -> new ArrayList<>()).add(one));
+    long asked = System.currentTimeMillis();
+    var views =
+        fleet.ask(
+            select.selection(),
+            client -> {
+              List<Api.InstanceView> found = new ArrayList<>();
+              for (Target target : byAgent.getOrDefault(client.name(), List.of())) {
+                found.add(client.query(target.instance()));
+              }
+              return found;
+            });
+    for (AgentCallException failure : views.failures().values()) {
+      if (!answers.failures().containsKey(failure.getMessage())) {
+        code = 3;
+      }
+    }
+    List<Api.InstanceView> all = Fleet.flat(views);
+    if (json()) {
+      print(new Api.Instances(all));
+    } else {
+      Table table =
+          new Table(
+              "AGENT",
+              "INSTANCE",
+              "STATE",
+              "LISTEN",
+              "GEN",
+              "DIGEST",
+              "OPEN",
+              "CLIENTS",
+              "SERVER CONNS",
+              "SERVERS",
+              "LEAVING",
+              "DRAINING",
+              "REFUSED FILE");
+      for (Api.InstanceView view : all) {
+        JsonNode says = view.status();
+        if (says == null) {
+          table.row(
+              view.agent(),
+              view.name(),
+              view.state(),
+              null,
+              null,
+              null,
+              null,
+              null,
+              null,
+              null,
+              null,
+              null,
+              "");
+        } else {
+          table.row(
+              view.agent(),
+              view.name(),
+              view.state(),
+              says.path("listen").asText(),
+              says.path("generation").asText(),
+              says.path("digest")
+                  .asText()
+                  .substring(0, Math.min(12, says.path("digest").asText().length())),
+              says.path("open_requests").asText(),
+              says.path("client_connections").asText(),
+              says.path("server_connections").asText(),
+              says.path("servers").path("active").asText(),
+              says.path("servers").path("leaving").asText(),
+              says.path("draining").asText(),
+              says.hasNonNull("refusal") ? says.path("refusal").asText() : "");
+        }
+      }
+      table.print(out());
+    }
+    for (Api.InstanceView view : all) {
+      if (view.pid() != null && view.heardMs() < asked) {
+        err().println(view.agent() + "/" + view.name() + " runs, but did not say its status");
+        code = 3;
+      }
+    }
+    return code;
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/cli/Table.java
@@ -0,0 +1,42 @@
+package beamspread.cli;
+
+import java.io.PrintWriter;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Rows in columns as wide as they need to be. */
+final class Table {
+  private final List<String[]> rows = new ArrayList<>();
+
+  Table(String... head) {
+    rows.add(head);
+  }
+
+  void row(Object... cells) {
+    String[] texts = new String[cells.length];
+    for (int i = 0; i < cells.length; i++) {
+      // What an agent or a node says must not move the cursor.
+      texts[i] = cells[i] == null ? "-" : cells[i].toString().replaceAll("\\p{Cntrl}", " ");
+    }
+    rows.add(texts);
+  }
+
+  void print(PrintWriter out) {
+    int[] widths = new int[rows.get(0).length];
+    for (String[] row : rows) {
+      for (int i = 0; i < row.length; i++) {
+        widths[i] = Math.max(widths[i], row[i].length());
+      }
+    }
+    for (String[] row : rows) {
+      StringBuilder line = new StringBuilder();
+      for (int i = 0; i < row.length; i++) {
+        line.append(row[i]);
+        if (i + 1 < row.length) {
+          line.append(" ".repeat(widths[i] - row[i].length() + 2));
+        }
+      }
+      out.println(line.toString().stripTrailing());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/fleet/AgentClient.java
@@ -0,0 +1,221 @@
+package beamspread.fleet;
+
+import beamspread.fleet.api.Api;
+import beamspread.fleet.api.Json;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ConnectException;
+import java.net.URLEncoder;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.security.GeneralSecurityException;
+import java.security.KeyStore;
+import java.security.cert.Certificate;
+import java.security.cert.CertificateFactory;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Executor;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.TrustManagerFactory;
+
+/** Calls to one agent. Every call ends within its limit. */
+public final class AgentClient {
+  private static final Duration CONNECT = Duration.ofSeconds(2);
+
+  private final Inventory.AgentEntry agent;
+  private final HttpClient http;
+  private final Duration limit;
+  private final String token;
+
+  /**
+   * A client for one agent.
+   *
+   * @param executor runs the client's own tasks
+   * @throws IOException if the token or the certificates can't be read
+   */
+  public AgentClient(Inventory.AgentEntry agent, long answerNanos, Executor executor)
+      throws IOException {
+    this.agent = agent;
+    this.limit = Duration.ofNanos(answerNanos);
+    this.token = agent.tokenFile() == null ? null : Files.readString(agent.tokenFile()).strip();
+    HttpClient.Builder builder =
+        HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(CONNECT.compareTo(limit) < 0 ? CONNECT : limit)
+            .executor(executor);
+    if (agent.caFile() != null) {
+      builder.sslContext(trusting(agent));
+    }
+    http = builder.build();
+  }
+
+  private static SSLContext trusting(Inventory.AgentEntry agent) throws IOException {
+    try (InputStream in = Files.newInputStream(agent.caFile())) {
+      KeyStore store = KeyStore.getInstance(KeyStore.getDefaultType());
+      store.load(null, null);
+      int number = 0;
+      for (Certificate certificate :
+          CertificateFactory.getInstance("X.509").generateCertificates(in)) {
+        store.setCertificateEntry("ca" + number++, certificate);
+      }
+      TrustManagerFactory trust =
+          TrustManagerFactory.getInstance(TrustManagerFactory.getDefaultAlgorithm());
+      trust.init(store);
+      SSLContext context = SSLContext.getInstance("TLS");
+      context.init(null, trust.getTrustManagers(), null);
+      return context;
+    } catch (GeneralSecurityException e) {
+      throw new IOException(agent.caFile() + ": " + e.getMessage(), e);
+    }
+  }
+
+  /** The agent's name in the inventory. */
+  public String name() {
+    return agent.name();
+  }
+
+  /** The agent itself. */
+  public Api.AgentView agent() throws AgentCallException {
+    return get("agent", Api.AgentView.class, Duration.ZERO);
+  }
+
+  /** All its instances. */
+  public List<Api.InstanceView> instances() throws AgentCallException {
+    return get("instances", Api.Instances.class, Duration.ZERO).instances();
+  }
+
+  /** An instance, with what its node says now. */
+  public Api.InstanceView query(String instance) throws AgentCallException {
+    return get("instances/" + word(instance) + "/status", Api.InstanceView.class, Duration.ZERO);
+  }
+
+  /** The last lines of an instance's log. */
+  public List<String> log(String instance, int lines) throws AgentCallException {
+    return get(
+            "instances/" + word(instance) + "/log?lines=" + lines,
+            Api.LogLines.class,
+            Duration.ZERO)
+        .lines();
+  }
+
+  /** An operation; waits for at most so long until more than {@code seen} steps have ended. */
+  public Api.OperationView operation(String id, long waitMillis, int seen)
+      throws AgentCallException {
+    return get(
+        "operations/" + word(id) + "?wait_ms=" + waitMillis + "&seen=" + seen,
+        Api.OperationView.class,
+        Duration.ofMillis(waitMillis));
+  }
+
+  /** The newest operations. */
+  public List<Api.OperationView> operations(int most) throws AgentCallException {
+    return get("operations?most=" + most, Api.Operations.class, Duration.ZERO).operations();
+  }
+
+  /** Takes leases. */
+  public Api.LeaseGiven lease(Api.LeaseAsk ask) throws AgentCallException {
+    return post("leases", ask, Api.LeaseGiven.class);
+  }
+
+  /** Renews a session's leases. */
+  public void renew(Api.LeaseEnd renewal) throws AgentCallException {
+    post("leases/renew", renewal, Api.LeaseGiven.class);
+  }
+
+  /** Gives a session's leases back. */
+  public void release(Api.LeaseEnd end) throws AgentCallException {
+    post("leases/release", end, Api.LeaseGiven.class);
+  }
+
+  /** Begins steps. Asked again with the same ones it does nothing more. */
+  public Api.OperationView steps(Api.StepsAsk ask) throws AgentCallException {
+    return post("steps", ask, Api.OperationView.class);
+  }
+
+  /** The events after this number as they happen, one JSON object a line. */
+  public InputStream events(long since) throws AgentCallException {
+    HttpResponse<InputStream> response =
+        send(
+            request("events?since=" + since).GET().build(),
+            HttpResponse.BodyHandlers.ofInputStream());
+    return response.body();
+  }
+
+  private static String word(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8);
+  }
+
+  private HttpRequest.Builder request(String path) {
+    HttpRequest.Builder builder = HttpRequest.newBuilder(agent.url().resolve("/v1/" + path));
+    if (token != null) {
+      builder.header("Authorization", "Bearer " + token);
+    }
+    return builder;
+  }
+
+  private <T> T get(String path, Class<T> type, Duration wait) throws AgentCallException {
+    return value(
+        send(
+            request(path).timeout(limit.plus(wait)).GET().build(),
+            HttpResponse.BodyHandlers.ofString()),
+        type);
+  }
+
+  private <T> T post(String path, Object body, Class<T> type) throws AgentCallException {
+    return value(
+        send(
+            request(path)
+                .timeout(limit)
+                .header("Content-Type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString(Json.text(body)))
+                .build(),
+            HttpResponse.BodyHandlers.ofString()),
+        type);
+  }
+
+  private <T> HttpResponse<T> send(HttpRequest request, HttpResponse.BodyHandler<T> handler)
+      throws AgentCallException {
+    try {
+      return http.send(request, handler);
+    } catch (ConnectException | HttpConnectTimeoutException e) {
+      throw new AgentCallException(
+          "agent " + name() + " cannot be reached at " + agent.url(), false, null);
+    } catch (IOException e) {
+      String why = e.getMessage() == null ? e.getClass().getSimpleName() : e.getMessage();
+      throw new AgentCallException(
+          "agent " + name() + " at " + agent.url() + " gave no answer: " + why, true, null);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new AgentCallException("interrupted", true, null);
+    }
+  }
+
+  private <T> T value(HttpResponse<String> response, Class<T> type) throws AgentCallException {
+    try {
+      if (response.statusCode() == 200) {
+        return Json.read(response.body(), type);
+      }
+      Api.Problem problem = Json.read(response.body(), Api.Problem.class);
+      throw new AgentCallException(
+          "agent " + name() + ": " + problem.message(),
+          response.statusCode() >= 500 && !problem.error().equals("record"),
+          problem);
+    } catch (Json.BadJsonException e) {
+      throw new AgentCallException(
+          "agent "
+              + name()
+              + " at "
+              + agent.url()
+              + " answers "
+              + response.statusCode()
+              + " with what is no answer of an agent: "
+              + e.getMessage(),
+          true,
+          null);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/fleet/RolloutRunner.java
@@ -0,0 +1,430 @@
+package beamspread.fleet;
+
+import beamspread.fleet.api.Api;
+import beamspread.fleet.api.Json;
+import beamspread.fleet.api.Outcome;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Carries a rollout out: takes leases of all its instances first, from one agent after the other in
+ * the order of their names, so that of two operators one gets all and the other is told at once;
+ * then begins batch after batch and waits for what the agents have on record of them. What no agent
+ * says is told as unknown.
+ */
+public final class RolloutRunner {
+  private static final long POLL_MILLIS = 2000;
+  private static final long AGAIN_MILLIS = 100;
+
+  /**
+   * How the runner goes about it.
+   *
+   * @param ttlMs how long leases last without being renewed
+   * @param stepMs how long one step may take before it is given up on
+   */
+  public record Limits(long ttlMs, long stepMs) {
+    /** What holds where nothing is said. */
+    public static Limits usual() {
+      return new Limits(15_000, 180_000);
+    }
+  }
+
+  private final Fleet fleet;
+  private final Limits limits;
+  private final Consumer<Result> progress;
+  private final String session = UUID.randomUUID().toString();
+
+  /** A runner over this fleet; {@code progress} hears of each result as it comes. */
+  public RolloutRunner(Fleet fleet, Limits limits, Consumer<Result> progress) {
+    this.fleet = fleet;
+    this.limits = limits;
+    this.progress = progress;
+  }
+
+  /** One instance's part of an agent's batch. */
+  private record Work(Target target, long token, int attempt) {}
+
+  private record Ended(Target target, Result result) {}
+
+  /**
+   * Runs a rollout to its end.
+   *
+   * @param operation its id
+   * @param by who asks for it
+   * @param attempts by target, the number of this try where it is not the first
+   * @param before results that an earlier run has had already
+   */
+  public Report run(
+      String operation,
+      String by,
+      RolloutPlan plan,
+      Map<Target, Integer> attempts,
+      List<Result> before) {
+    long started = System.currentTimeMillis();
+    long begunAt = System.nanoTime();
+    Map<Target, Result> results = new LinkedHashMap<>();
+    Map<Target, Long> tokens = new HashMap<>();
+    Rollout rollout = new Rollout(plan);
+    RolloutPlan whole = withEarlier(plan, before);
+    Map<String, List<Target>> byAgent = new TreeMap<>();
+    plan.targets()
+        .forEach(
+            target -> byAgent.computeIfAbsent(target.agent(), a -> new ArrayList<>()).add(target));
+    List<String> leased = new CopyOnWriteArrayList<>();
+    ScheduledExecutorService renewing =
+        Executors.newSingleThreadScheduledExecutor(
+            task -> {
+              Thread thread = new Thread(task, "leases");
+              thread.setDaemon(true);
+              return thread;
+            });
+    String state = "refused";
+    try {
+      renewing.scheduleAtFixedRate(
+          () -> renew(operation, leased),
+          limits.ttlMs() / 3,
+          limits.ttlMs() / 3,
+          TimeUnit.MILLISECONDS);
+      if (lease(operation, by, plan, whole, byAgent, leased, tokens, rollout, results)) {
+        state = "stopped";
+        if (!carryOut(operation, plan, attempts, tokens, rollout, results)) {
+          state = "ended";
+        }
+      }
+    } finally {
+      renewing.shutdownNow();
+      for (String agent : leased) {
+        try {
+          fleet.clients().get(agent).release(new Api.LeaseEnd(session, operation, state));
+        } catch (AgentCallException e) {
+          // The leases run out by themselves.
+        }
+      }
+    }
+    List<Result> all = new ArrayList<>(before);
+    all.addAll(results.values());
+    all.sort(Comparator.comparing(Result::agent).thenComparing(Result::instance));
+    return new Report(
+        operation,
+        plan.kind(),
+        by,
+        started,
+        (System.nanoTime() - begunAt) / 1_000_000,
+        List.copyOf(all));
+  }
+
+  /** The plan as it was at first: who resumes it anew must not lose what was done already. */
+  private static RolloutPlan withEarlier(RolloutPlan plan, List<Result> before) {
+    List<Target> targets = new ArrayList<>();
+    before.forEach(one -> targets.add(new Target(one.instance(), one.agent(), one.zone())));
+    targets.addAll(plan.targets());
+    return new RolloutPlan(plan.kind(), plan.options(), targets);
+  }
+
+  /** Takes the leases; false if somebody else holds one, and then nothing is begun anywhere. */
+  private boolean lease(
+      String operation,
+      String by,
+      RolloutPlan plan,
+      RolloutPlan whole,
+      Map<String, List<Target>> byAgent,
+      List<String> leased,
+      Map<Target, Long> tokens,
+      Rollout rollout,
+      Map<Target, Result> results) {
+    for (var entry : byAgent.entrySet()) {
+      AgentClient client = fleet.clients().get(entry.getKey());
+      List<Target> targets = entry.getValue();
+      try {
+        if (client == null) {
+          throw new AgentCallException(
+              "agent " + entry.getKey() + " is not in the inventory", false, null);
+        }
+        Api.LeaseGiven given =
+            client.lease(
+                new Api.LeaseAsk(
+                    session,
+                    operation,
+                    plan.kind(),
+                    by,
+                    targets.stream().map(Target::instance).toList(),
+                    limits.ttlMs(),
+                    Json.tree(whole)));
+        leased.add(entry.getKey());
+        targets.forEach(target -> tokens.put(target, given.tokens().get(target.instance())));
+      } catch (AgentCallException e) {
+        if (e.is("held")) {
+          refuseAll(plan, results, e);
+          return false;
+        }
+        for (Target target : targets) {
+          rollout.neverBegun(target);
+          boolean answered = e.problem() != null;
+          note(
+              results,
+              target,
+              answered ? Outcome.REFUSED : Outcome.FAILED,
+              "nothing was begun: " + e.getMessage(),
+              0);
+        }
+      }
+    }
+    return true;
+  }
+
+  private void refuseAll(RolloutPlan plan, Map<Target, Result> results, AgentCallException e) {
+    Map<String, Api.Holder> holders = new HashMap<>();
+    e.problem().holders().forEach(holder -> holders.put(holder.instance(), holder));
+    for (Target target : plan.targets()) {
+      if (results.containsKey(target)) {
+        continue;
+      }
+      Api.Holder holder =
+          e.getMessage().startsWith("agent " + target.agent() + ":")
+              ? holders.get(target.instance())
+              : null;
+      note(
+          results,
+          target,
+          Outcome.REFUSED,
+          holder == null
+              ? "nothing was begun: " + e.getMessage()
+              : "held by "
+                  + holder.by()
+                  + " for "
+                  + holder.kind()
+                  + " "
+                  + holder.operation()
+                  + " since "
+                  + java.time.Instant.ofEpochMilli(holder.sinceMs()),
+          0);
+    }
+  }
+
+  private void note(
+      Map<Target, Result> results, Target target, Outcome outcome, String reason, long tookMs) {
+    Result result = Result.of(target, outcome, reason, tookMs, System.currentTimeMillis());
+    results.put(target, result);
+    progress.accept(result);
+  }
+
+  private void renew(String operation, List<String> agents) {
+    for (String agent : agents) {
+      fleet
+          .calls()
+          .execute(
+              () -> {
+                try {
+                  fleet.clients().get(agent).renew(new Api.LeaseEnd(session, operation, null));
+                } catch (AgentCallException e) {
+                  // Steps under a lease that is gone are refused by their token.
+                }
+              });
+    }
+  }
+
+  /** Batch after batch; whether it stopped before all were begun. */
+  private boolean carryOut(
+      String operation,
+      RolloutPlan plan,
+      Map<Target, Integer> attempts,
+      Map<Target, Long> tokens,
+      Rollout rollout,
+      Map<Target, Result> results) {
+    LinkedBlockingQueue<Ended> ended = new LinkedBlockingQueue<>();
+    while (true) {
+      Rollout.Decision decision = rollout.next(System.nanoTime());
+      if (decision instanceof Rollout.Decision.Done done) {
+        done.skipped().forEach(one -> note(results, one, Outcome.SKIPPED, done.why(), 0));
+        return !done.skipped().isEmpty();
+      }
+      try {
+        if (decision instanceof Rollout.Decision.Begin begin) {
+          Map<String, List<Work>> work = new TreeMap<>();
+          for (Target target : begin.targets()) {
+            work.computeIfAbsent(target.agent(), a -> new ArrayList<>())
+                .add(new Work(target, tokens.get(target), attempts.getOrDefault(target, 1)));
+          }
+          work.forEach(
+              (agent, part) ->
+                  fleet
+                      .calls()
+                      .execute(
+                          () ->
+                              new AgentBatch(
+                                      fleet.clients().get(agent), operation, plan, part, ended)
+                                  .run()));
+        } else if (decision instanceof Rollout.Decision.Wait wait) {
+          if (wait.untilNanos() == Long.MAX_VALUE) {
+            Ended one = ended.take();
+            results.put(one.target(), one.result());
+            progress.accept(one.result());
+            rollout.ended(System.nanoTime(), one.target(), one.result().outcome());
+          } else {
+            TimeUnit.NANOSECONDS.sleep(wait.untilNanos() - System.nanoTime());
+          }
+        }
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        for (Target target : plan.targets()) {
+          if (!results.containsKey(target)) {
+            note(results, target, Outcome.UNKNOWN, "interrupted here", 0);
+          }
+        }
+        return true;
+      }
+    }
+  }
+
+  /** The part of a batch that one agent does: begun once, and followed until each has ended. */
+  private final class AgentBatch {
+    private final AgentClient agent;
+    private final String operation;
+    private final RolloutPlan plan;
+    private final Map<String, Work> open = new ConcurrentHashMap<>();
+    private final LinkedBlockingQueue<Ended> ended;
+    private final long giveUpAt = System.nanoTime() + limits.stepMs() * 1_000_000;
+    private long heardAt = System.nanoTime();
+
+    AgentBatch(
+        AgentClient agent,
+        String operation,
+        RolloutPlan plan,
+        List<Work> work,
+        LinkedBlockingQueue<Ended> ended) {
+      this.agent = agent;
+      this.operation = operation;
+      this.plan = plan;
+      this.ended = ended;
+      work.forEach(one -> open.put(one.target().instance(), one));
+    }
+
+    void run() {
+      try {
+        if (begin()) {
+          follow();
+        }
+      } catch (RuntimeException e) {
+        endAll(Outcome.UNKNOWN, "trouble here: " + e);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        endAll(Outcome.UNKNOWN, "interrupted here");
+      }
+    }
+
+    private boolean away() {
+      return System.nanoTime() - heardAt > fleet.inventory().patienceNanos();
+    }
+
+    private boolean begin() throws InterruptedException {
+      List<Api.StepAsk> steps =
+          open.values().stream()
+              .map(work -> new Api.StepAsk(work.target().instance(), work.token(), work.attempt()))
+              .toList();
+      boolean mayHaveArrived = false;
+      while (true) {
+        try {
+          agent.steps(new Api.StepsAsk(operation, plan.kind(), steps));
+          heardAt = System.nanoTime();
+          return true;
+        } catch (AgentCallException e) {
+          if (e.problem() != null && !mayHaveArrived) {
+            endAll(
+                e.is("record") ? Outcome.FAILED : Outcome.REFUSED,
+                "nothing was begun: " + e.getMessage());
+            return false;
+          }
+          if (e.problem() != null) {
+            // An earlier call may have begun them; the agent's record has the truth.
+            heardAt = System.nanoTime();
+            return true;
+          }
+          mayHaveArrived |= e.mayHaveArrived();
+          if (away()) {
+            endAll(
+                mayHaveArrived ? Outcome.UNKNOWN : Outcome.FAILED,
+                (mayHaveArrived ? "it may have been begun: " : "nothing was begun: ")
+                    + e.getMessage());
+            return false;
+          }
+          TimeUnit.MILLISECONDS.sleep(AGAIN_MILLIS);
+        }
+      }
+    }
+
+    private void follow() throws InterruptedException {
+      int seen = 0;
+      while (!open.isEmpty()) {
+        if (System.nanoTime() - giveUpAt > 0) {
+          endAll(Outcome.UNKNOWN, "still under way after " + limits.stepMs() / 1000 + " s");
+          return;
+        }
+        try {
+          Api.OperationView view = agent.operation(operation, POLL_MILLIS, seen);
+          heardAt = System.nanoTime();
+          seen = take(view);
+        } catch (AgentCallException e) {
+          if (e.is("unknown_operation")) {
+            endAll(
+                Outcome.UNKNOWN,
+                "the agent no longer has on record what it had taken on: its record is older");
+          } else if (away()) {
+            endAll(Outcome.UNKNOWN, "begun, and then no word of it: " + e.getMessage());
+          } else {
+            TimeUnit.MILLISECONDS.sleep(AGAIN_MILLIS);
+          }
+        }
+      }
+    }
+
+    /** Takes in what has ended; returns how many steps of the operation have. */
+    private int take(Api.OperationView view) {
+      int over = 0;
+      Map<String, Api.StepView> known = new HashMap<>();
+      for (Api.StepView step : view.steps()) {
+        over += step.outcome() == null ? 0 : 1;
+        known.put(step.instance() + " " + step.attempt(), step);
+      }
+      for (Work work : List.copyOf(open.values())) {
+        String instance = work.target().instance();
+        Api.StepView step = known.get(instance + " " + work.attempt());
+        if (step == null) {
+          end(
+              work,
+              Outcome.UNKNOWN,
+              "the agent has no such step on record: it was not begun, or its record is older",
+              0);
+        } else if (step.outcome() != null) {
+          end(work, step.outcome(), step.reason(), step.endedMs() - step.beganMs());
+        }
+      }
+      return over;
+    }
+
+    private void end(Work work, Outcome outcome, String reason, long tookMs) {
+      if (open.remove(work.target().instance()) != null) {
+        ended.add(
+            new Ended(
+                work.target(),
+                Result.of(work.target(), outcome, reason, tookMs, System.currentTimeMillis())));
+      }
+    }
+
+    private void endAll(Outcome outcome, String reason) {
+      List.copyOf(open.values()).forEach(work -> end(work, outcome, reason, 0));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/fleet/api/Api.java
@@ -0,0 +1,122 @@
+package beamspread.fleet.api;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Map;
+
+/** The bodies of the agent's API, version 1. Times are Unix milliseconds, tokens fencing tokens. */
+public final class Api {
+  private Api() {}
+
+  /**
+   * An agent.
+   *
+   * @param starts which start of the agent this is
+   * @param trouble what keeps it from working fully; null if nothing does
+   */
+  public record AgentView(
+      String name, long pid, long starts, String record, int instances, String trouble) {}
+
+  /**
+   * An instance.
+   *
+   * @param state stopped, starting, running, stopping, backoff or crash_loop
+   * @param run whether it is meant to run
+   * @param reason why it is in this state; null where that goes without saying
+   * @param exits how often it ended by itself lately
+   * @param held who holds it; null if nobody does
+   * @param status what the node said of itself last; null if it has not
+   * @param heardMs when it said so
+   */
+  public record InstanceView(
+      String name,
+      String agent,
+      String zone,
+      String state,
+      boolean run,
+      Long pid,
+      long sinceMs,
+      String reason,
+      int exits,
+      Holder held,
+      JsonNode status,
+      long heardMs) {}
+
+  /** All instances of an agent. */
+  public record Instances(List<InstanceView> instances) {}
+
+  /** The last lines of an instance's log. */
+  public record LogLines(List<String> lines) {}
+
+  /** Who holds an instance, for what, and since when. */
+  public record Holder(String instance, String operation, String kind, String by, long sinceMs) {}
+
+  /**
+   * Asks for leases of all these instances or none.
+   *
+   * @param lease the id of the caller's session, which only it knows
+   * @param ttlMs how long the leases last without being renewed
+   * @param plan what is meant to be done over all agents; kept for whoever resumes it
+   */
+  public record LeaseAsk(
+      String lease,
+      String operation,
+      Kind kind,
+      String by,
+      List<String> instances,
+      long ttlMs,
+      JsonNode plan) {}
+
+  /** The leases that were given: a token for each instance. */
+  public record LeaseGiven(long ttlMs, Map<String, Long> tokens) {}
+
+  /** Renews or gives back all leases of a session; {@code state} is how the operation ended. */
+  public record LeaseEnd(String lease, String operation, String state) {}
+
+  /** One instance to be worked on. */
+  public record StepAsk(String instance, long token, int attempt) {}
+
+  /** Asks for steps of an operation, all of which are begun or none. */
+  public record StepsAsk(String operation, Kind kind, List<StepAsk> steps) {}
+
+  /**
+   * A step.
+   *
+   * @param outcome null while it is under way, or its outcome is not yet on record
+   */
+  public record StepView(
+      String instance,
+      int attempt,
+      Kind kind,
+      Outcome outcome,
+      String reason,
+      long beganMs,
+      long endedMs) {}
+
+  /** An operation, as far as this agent was part of it. */
+  public record OperationView(
+      String id,
+      Kind kind,
+      String by,
+      JsonNode plan,
+      String state,
+      long beganMs,
+      long endedMs,
+      List<StepView> steps) {}
+
+  /** The newest operations. */
+  public record Operations(List<OperationView> operations) {}
+
+  /** Something that happened, numbered without gaps from 1 at each start of the agent. */
+  public record Event(
+      long seq, long atMs, String agent, String type, String instance, String text) {}
+
+  /**
+   * Why a call was turned down.
+   *
+   * @param error a word for programs
+   * @param message a sentence for people, with what to do next where that helps
+   * @param holders who holds what was asked for
+   */
+  public record Problem(String error, String message, List<Holder> holders) {}
+}
--- /dev/null
+++ b/src/main/java/beamspread/fleet/config/package-info.java
@@ -0,0 +1,2 @@
+/** Reading of TOML files that are checked whole, for the agent's and the operators' side alike. */
+package beamspread.fleet.config;
--- a/src/main/java/beamspread/node/Hangup.java
+++ b/src/main/java/beamspread/node/Hangup.java
@@ -7,11 +7,11 @@
  * takes signals is not part of the platform's stable interface, and warned of where it is named in
  * the source: hence by reflection, and a machine without it only loses the reload.
  */
-final class Hangup {
+public final class Hangup {
   private Hangup() {}
 
   /** Has the step run on a thread of its own; false where signals can't be taken. */
-  static boolean handle(Runnable step) {
+  public static boolean handle(Runnable step) {
     try {
       Class<?> signal = Class.forName("sun.misc.Signal");
       Class<?> handler = Class.forName("sun.misc.SignalHandler");
--- a/src/main/java/beamspread/record/FleetRecord.java
+++ b/src/main/java/beamspread/record/FleetRecord.java
@@ -8,8 +8,11 @@
  */
 public interface FleetRecord extends AutoCloseable {
 
-  /** Counts this start of the agent; returns its number, from 1. */
-  long countStart() throws RecordException;
+  /** The number of the agent's last start, 0 if there was none. */
+  long starts() throws RecordException;
+
+  /** The agent starts for this time; a lower number than is there changes nothing. */
+  void started(long number) throws RecordException;
 
   /**
    * Writes all of these changes or none. Once this returns they survive a crash of the process and
--- a/src/main/java/beamspread/record/JdbcRecord.java
+++ b/src/main/java/beamspread/record/JdbcRecord.java
@@ -74,17 +74,24 @@
   }
 
   @Override
-  public long countStart() throws RecordException {
-    // Not idempotent, but a start counted twice does no harm: numbers only have to grow.
-    return write(
-        connection -> {
-          update(
-              connection,
-              "INSERT INTO agent (agent, starts, last_token) VALUES (?, 1, 0)"
-                  + " ON CONFLICT (agent) DO UPDATE SET starts = agent.starts + 1",
-              agent);
-          return number(connection, "SELECT starts FROM agent WHERE agent = ?", agent);
-        });
+  public long starts() throws RecordException {
+    return read("SELECT starts FROM agent WHERE agent = ?", row -> row.getLong(1), agent).stream()
+        .findFirst()
+        .orElse(0L);
+  }
+
+  @Override
+  public void started(long number) throws RecordException {
+    write(
+        connection ->
+            update(
+                connection,
+                "INSERT INTO agent (agent, starts, last_token) VALUES (?, ?, 0)"
+                    + " ON CONFLICT (agent) DO UPDATE SET starts ="
+                    + " CASE WHEN agent.starts > excluded.starts THEN agent.starts"
+                    + " ELSE excluded.starts END",
+                agent,
+                number));
   }
 
   @Override
@@ -361,15 +368,6 @@
     throw failure("could not be read", last);
   }
 
-  private static long number(Connection connection, String sql, Object... values)
-      throws SQLException {
-    try (PreparedStatement statement = prepare(connection, sql, values);
-        ResultSet rows = statement.executeQuery()) {
-      rows.next();
-      return rows.getLong(1);
-    }
-  }
-
   private static int update(Connection connection, String sql, Object... values)
       throws SQLException {
     try (PreparedStatement statement = prepare(connection, sql, values)) {
