--- a/src/main/java/beamspread/agent/Agent.java
+++ b/src/main/java/beamspread/agent/Agent.java
@@ -14,6 +14,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -138,6 +139,17 @@
         RECORD_MILLIS);
   }
 
+  /** Kills the process that a pid file of an agent that has ended names, if it still runs. */
+  public static List<Long> stopLeftBehind(Path pidFile) {
+    ProcessTable processes = new ProcessTable();
+    ProcessId left = processes.adopt(pidFile);
+    if (left == null) {
+      return List.of();
+    }
+    processes.signal(left, "KILL");
+    return List.of(left.pid());
+  }
+
   /** Where it is reached. */
   public String url() {
     return url;
--- /dev/null
+++ b/src/main/java/beamspread/standin/CacheServer.java
@@ -0,0 +1,173 @@
+package beamspread.standin;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A stand-in cache server: meta commands of the memcache text protocol, each answered after a time
+ * in the order of the commands, a key's first read as a miss.
+ */
+public final class CacheServer implements AutoCloseable {
+  private static final int LONGEST_LINE = 2048;
+  private static final int MOST_KEYS = 100_000;
+
+  private final EventLoop loop;
+  private final long answerMicros;
+  private final int mostConnections;
+  private final Channel listener;
+  private final AtomicLong served = new AtomicLong();
+  private final AtomicLong turnedAway = new AtomicLong();
+  private final Map<String, Boolean> kept =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+          return size() > MOST_KEYS;
+        }
+      };
+  private int connections;
+
+  /**
+   * A server on a free port of the loopback address.
+   *
+   * @param answerMicros the time from a command to its answer
+   * @param mostConnections connections that it takes; on more it says that it is busy
+   */
+  public CacheServer(EventLoop loop, long answerMicros, int mostConnections)
+      throws IOException, InterruptedException {
+    this.loop = loop;
+    this.answerMicros = answerMicros;
+    this.mostConnections = mostConnections;
+    this.listener = listen(loop, this::accept);
+  }
+
+  /** Has something listen on a free port of the loopback address. */
+  static Channel listen(EventLoop loop, java.util.function.Consumer<Channel> accept)
+      throws IOException, InterruptedException {
+    var bound =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .childHandler(
+                new ChannelInitializer<>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    accept.accept(channel);
+                  }
+                })
+            .bind(InetAddress.getLoopbackAddress(), 0)
+            .await();
+    if (!bound.isSuccess()) {
+      throw new IOException("cannot listen: " + bound.cause().getMessage());
+    }
+    return bound.channel();
+  }
+
+  /** Where it listens. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) listener.localAddress();
+  }
+
+  /** Commands that it has carried out. */
+  public long served() {
+    return served.get();
+  }
+
+  /** Commands that it has turned away. */
+  public long turnedAway() {
+    return turnedAway.get();
+  }
+
+  private void accept(Channel channel) {
+    connections++;
+    channel.closeFuture().addListener(closed -> connections--);
+    channel.pipeline().addLast(new Connection(connections > mostConnections));
+  }
+
+  @Override
+  public void close() {
+    listener.close();
+  }
+
+  private final class Connection extends ByteToMessageDecoder {
+    private final boolean full;
+    private final ArrayDeque<String> answers = new ArrayDeque<>();
+
+    Connection(boolean full) {
+      this.full = full;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+      int length = in.bytesBefore((byte) '\n');
+      if (length < 0) {
+        if (in.readableBytes() > LONGEST_LINE) {
+          ctx.close();
+        }
+        return;
+      }
+      String[] words =
+          in.toString(in.readerIndex(), length, StandardCharsets.ISO_8859_1).strip().split(" ");
+      int size = 0;
+      if (words[0].equals("ms") && words.length > 2 && words[2].matches("\\d{1,5}")) {
+        size = Integer.parseInt(words[2]) + 2;
+        if (in.readableBytes() < length + 1 + size) {
+          return;
+        }
+      }
+      in.skipBytes(length + 1 + size);
+      answer(ctx, words);
+    }
+
+    private void answer(ChannelHandlerContext ctx, String[] words) {
+      String id = "";
+      for (int i = 2; i < words.length; i++) {
+        id = words[i].startsWith("O") ? words[i] : id;
+      }
+      if (words[0].equals("mn")) {
+        answers.add("MN\r\n");
+      } else if (full) {
+        turnedAway.incrementAndGet();
+        answers.add("SERVER_ERROR busy\r\n");
+      } else if (words[0].equals("mg") && words.length > 2) {
+        served.incrementAndGet();
+        boolean hit = kept.put(words[1], true) != null;
+        answers.add("VA 5 " + id + (hit ? " h1" : " h0") + "\r\nvalue\r\n");
+      } else if (words[0].equals("ms") && words.length > 2) {
+        long receipt = served.incrementAndGet();
+        answers.add("HD " + id + " c" + receipt + "\r\n");
+      } else {
+        answers.add("CLIENT_ERROR bad command\r\n");
+      }
+      loop.schedule(
+          () -> {
+            ctx.writeAndFlush(ByteBufUtil.writeAscii(ctx.alloc(), answers.poll()));
+          },
+          answerMicros,
+          TimeUnit.MICROSECONDS);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/standin/Discovery.java
@@ -0,0 +1,88 @@
+package beamspread.standin;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A stand-in discovery: tells every watch the whole list, and then an empty line every 2 s. */
+public final class Discovery implements AutoCloseable {
+  private final EventLoop loop;
+  private final Channel listener;
+  private final ChannelGroup watches;
+  private final List<CacheServer> servers;
+
+  /** A discovery that lists these servers, on a free port of the loopback address. */
+  public Discovery(EventLoop loop, List<CacheServer> servers)
+      throws IOException, InterruptedException {
+    this.loop = loop;
+    this.servers = List.copyOf(servers);
+    this.watches = new DefaultChannelGroup(loop);
+    this.listener =
+        CacheServer.listen(
+            loop, channel -> channel.pipeline().addLast(new HttpServerCodec(), new Watch()));
+    loop.scheduleAtFixedRate(() -> watches.writeAndFlush(line("\n")), 2, 2, TimeUnit.SECONDS);
+  }
+
+  /** Where it listens. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) listener.localAddress();
+  }
+
+  /** The list as discovery has it. */
+  public static String list(int version, List<CacheServer> servers) {
+    List<String> lines = new ArrayList<>();
+    for (CacheServer server : servers) {
+      lines.add(
+          ("{\"id\":\"s-%d\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"a\",\"kind\":\"box\","
+                  + "\"state\":\"active\",\"weight\":1.0}")
+              .formatted(server.address().getPort(), server.address().getPort()));
+    }
+    return "{\"version\":%d,\"full\":true,\"servers\":[%s]}"
+        .formatted(version, String.join(",", lines));
+  }
+
+  private static DefaultHttpContent line(String text) {
+    return new DefaultHttpContent(
+        ByteBufUtil.writeAscii(io.netty.buffer.UnpooledByteBufAllocator.DEFAULT, text));
+  }
+
+  @Override
+  public void close() {
+    listener.close();
+    watches.close();
+  }
+
+  private final class Watch extends SimpleChannelInboundHandler<Object> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, Object message) {
+      if (message instanceof HttpRequest) {
+        var head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        HttpUtil.setTransferEncodingChunked(head, true);
+        ctx.write(head);
+        ctx.writeAndFlush(line(list(2, servers) + "\n"));
+        watches.add(ctx.channel());
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+}
