--- a/src/main/java/beamspread/agent/Agent.java
+++ b/src/main/java/beamspread/agent/Agent.java
@@ -14,7 +14,6 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -140,14 +139,12 @@
   }
 
   /** Kills the process that a pid file of an agent that has ended names, if it still runs. */
-  public static List<Long> stopLeftBehind(Path pidFile) {
+  public static void stopLeftBehind(Path pidFile) {
     ProcessTable processes = new ProcessTable();
     ProcessId left = processes.adopt(pidFile);
-    if (left == null) {
-      return List.of();
+    if (left != null) {
+      processes.signal(left, "KILL");
     }
-    processes.signal(left, "KILL");
-    return List.of(left.pid());
   }
 
   /** Where it is reached. */
--- a/src/main/java/beamspread/cli/Scratch.java
+++ b/src/main/java/beamspread/cli/Scratch.java
@@ -24,7 +24,7 @@
 
   private final Path folder;
   private final List<Agent> agents = new ArrayList<>();
-  private final List<String> pidFiles = new ArrayList<>();
+  private final List<String> agentFolders = new ArrayList<>();
 
   Scratch() throws IOException {
     folder = Files.createTempDirectory("beamspread");
@@ -96,10 +96,15 @@
     Files.writeString(file, toml);
     Agent agent = Agent.start(file);
     agents.add(agent);
-    pidFiles.add(folder.resolve(name).toString());
+    agentFolders.add(folder.resolve(name).toString());
     return agent;
   }
 
+  /** Ends what an agent's folder names when this is closed. */
+  void keep(String agentFolder) {
+    agentFolders.add(folder.resolve(agentFolder).toString());
+  }
+
   /** The fleet of these agents. */
   Fleet fleet(List<Agent> of) throws IOException {
     List<Inventory.AgentEntry> entries = new ArrayList<>();
@@ -129,14 +134,13 @@
 
   @Override
   public void close() throws IOException {
-    List<Long> left = new ArrayList<>();
     for (Agent agent : agents) {
       agent.close();
     }
-    for (String run : pidFiles) {
+    for (String run : agentFolders) {
       try (var files = Files.list(Path.of(run))) {
         for (Path file : files.filter(one -> one.toString().endsWith(".pid")).toList()) {
-          left.addAll(Agent.stopLeftBehind(file));
+          Agent.stopLeftBehind(file);
         }
       }
     }
--- a/src/main/java/beamspread/fleet/api/Json.java
+++ b/src/main/java/beamspread/fleet/api/Json.java
@@ -8,6 +8,8 @@
 import com.fasterxml.jackson.databind.PropertyNamingStrategies;
 import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** JSON as the API has it: strict in what it takes. */
 public final class Json {
@@ -21,6 +23,8 @@
           .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
           .build();
 
+  private static final Pattern MISSING = Pattern.compile("^Missing creator property '([^']*)'");
+
   private Json() {}
 
   /** A text that is not what it should be; the message says where. */
@@ -57,6 +61,10 @@
     } catch (UnrecognizedPropertyException e) {
       throw new BadJsonException("unknown field '" + e.getPropertyName() + "'" + at(e));
     } catch (JsonProcessingException e) {
+      Matcher missing = MISSING.matcher(e.getOriginalMessage());
+      if (missing.find()) {
+        throw new BadJsonException("field '" + missing.group(1) + "' is missing" + at(e));
+      }
       throw new BadJsonException(e.getOriginalMessage().lines().findFirst().orElse("") + at(e));
     }
   }
--- /dev/null
+++ b/src/test/java/beamspread/ArchitectureTest.java
@@ -0,0 +1,117 @@
+package beamspread;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** The table of docs/ARCHITECTURE.md. */
+class ArchitectureTest {
+  private static final String[] OPERATIONS = {
+    "beamspread.record..",
+    "beamspread.agent..",
+    "beamspread.fleet..",
+    "beamspread.standin..",
+    "beamspread.cli.."
+  };
+
+  private static final String[] IO = {
+    "io.netty..",
+    "java.net..",
+    "java.nio.channels..",
+    "java.nio.file..",
+    "java.sql..",
+    "javax.sql.."
+  };
+
+  private static final JavaClasses ALL =
+      new ClassFileImporter()
+          .withImportOption(new ImportOption.DoNotIncludeTests())
+          .importPackages("beamspread");
+
+  @Test
+  void packagesDependInOneDirectionOnly() {
+    slices().matching("beamspread.(*)..").should().beFreeOfCycles().check(ALL);
+  }
+
+  @Test
+  void theDecisionModuleIsPure() {
+    classes()
+        .that()
+        .resideInAPackage("beamspread.policy..")
+        .should()
+        .onlyDependOnClassesThat()
+        .resideInAnyPackage(
+            "beamspread.policy..", "beamspread.model..", "java.lang..", "java.util..")
+        .check(ALL);
+  }
+
+  @Test
+  void decisionsAreFreeOfInputOutputAndClocks() {
+    for (String decides :
+        new String[] {
+          "beamspread.agent.InstanceMachine",
+          "beamspread.agent.LeaseBook",
+          "beamspread.fleet.Rollout",
+          "beamspread.fleet.Selection",
+          "beamspread.fleet.Resume"
+        }) {
+      noClasses()
+          .that()
+          .haveFullyQualifiedName(decides)
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(IO)
+          .orShould()
+          .callMethod(System.class, "nanoTime")
+          .orShould()
+          .callMethod(System.class, "currentTimeMillis")
+          .check(ALL);
+    }
+  }
+
+  @Test
+  void aNodeNeedsNothingOfOperations() {
+    noClasses()
+        .that()
+        .resideInAnyPackage(
+            "beamspread",
+            "beamspread.model..",
+            "beamspread.policy..",
+            "beamspread.sim..",
+            "beamspread.node..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage(OPERATIONS)
+        .check(ALL);
+  }
+
+  @Test
+  void theRecordKnowsNoAgentAndTheOperatorsSideNoAgentsInside() {
+    noClasses()
+        .that()
+        .resideInAPackage("beamspread.record..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage("beamspread.agent..", "beamspread.fleet..", "beamspread.node..")
+        .check(ALL);
+    noClasses()
+        .that()
+        .resideInAPackage("beamspread.fleet..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage("beamspread.agent..", "beamspread.record..", "beamspread.node..")
+        .check(ALL);
+    noClasses()
+        .that()
+        .resideInAPackage("beamspread.agent..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage("beamspread.node..", "beamspread.cli..", "beamspread.standin..")
+        .check(ALL);
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/JarsIT.java
@@ -0,0 +1,58 @@
+package beamspread;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.jar.JarFile;
+import org.junit.jupiter.api.Test;
+
+/** The two jars, as they were packaged. */
+class JarsIT {
+  /** Packages with at least one class, so that the list stays short enough to be read. */
+  private static TreeSet<String> packages(Path jar) throws IOException {
+    TreeSet<String> packages = new TreeSet<>();
+    try (JarFile file = new JarFile(jar.toFile())) {
+      file.stream()
+          .filter(entry -> entry.getName().endsWith(".class"))
+          .forEach(
+              entry ->
+                  packages.add(entry.getName().substring(0, entry.getName().lastIndexOf('/'))));
+    }
+    return packages;
+  }
+
+  @Test
+  void theNodeJarHoldsWhatTheListNamesAndNothingElse() throws IOException {
+    Path list = Path.of("src/test/resources/node-jar-packages.txt");
+    assertThat(packages(Path.of("target/beamspread.jar")))
+        .containsExactlyElementsOf(Files.readAllLines(list));
+  }
+
+  @Test
+  void theOperationsJarRunsByItself() throws Exception {
+    Path out = Files.createTempFile("ops", ".out");
+    Process process =
+        new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-jar",
+                "target/beamspread-ops.jar",
+                "agent",
+                "--config",
+                "deploy/agent.toml",
+                "--check")
+            .redirectErrorStream(true)
+            .redirectOutput(out.toFile())
+            .start();
+    assertThat(process.waitFor(60, TimeUnit.SECONDS)).isTrue();
+    assertThat(Files.readString(out, StandardCharsets.UTF_8))
+        .contains("deploy/agent.toml: good, 2 instances");
+    assertThat(process.exitValue()).isZero();
+    assertThat(packages(Path.of("target/beamspread-ops.jar")))
+        .contains("beamspread/record", "org/sqlite", "org/postgresql", "com/zaxxer/hikari");
+  }
+}
