--- a/src/test/java/beamspread/cli/FleetCommandTest.java
+++ b/src/test/java/beamspread/cli/FleetCommandTest.java
@@ -40,8 +40,7 @@
   }
 
   private String instance(int i) {
-    return Scratch.instance(
-        "n" + i, "z" + i % 2, MeasureCommand.standIn(scratch.folder(), "n" + i));
+    return Scratch.instance("n" + i, "z" + i % 2, MeasureReload.standIn(scratch.folder(), "n" + i));
   }
 
   @AfterEach
