--- a/src/main/java/beamspread/agent/Agent.java
+++ b/src/main/java/beamspread/agent/Agent.java
@@ -56,6 +56,7 @@
       server = new AgentServer(core, loop, config.api());
       core.start(memory, recorded < seen);
       url = server.listen(config.api());
+      Files.writeString(config.folder().resolve("url"), url + "\n");
     } catch (IOException | RecordException | RuntimeException | InterruptedException e) {
       if (record != null) {
         record.close();
@@ -63,7 +64,6 @@
       abandon();
       throw e;
     }
-    Files.writeString(config.folder().resolve("url"), url + "\n");
   }
 
   /** What was begun before the start failed is ended. */
--- a/src/main/java/beamspread/agent/AgentCore.java
+++ b/src/main/java/beamspread/agent/AgentCore.java
@@ -49,6 +49,8 @@
 
   private record Waiter(String operation, CompletableFuture<Void> told) {}
 
+  private final long startedMillis = System.currentTimeMillis();
+  private final long startedNanos = System.nanoTime();
   private final AgentConfig config;
   private final RecordKeeper keeper;
   private final ProcessTable processes;
@@ -235,8 +237,12 @@
     return System.nanoTime();
   }
 
+  /**
+   * Unix milliseconds, for people and the record. They run on from the agent's start, so that a
+   * clock that jumps makes no step end before it began.
+   */
   long millis() {
-    return System.currentTimeMillis();
+    return startedMillis + (System.nanoTime() - startedNanos) / 1_000_000;
   }
 
   void probe(Point point) {
--- a/src/main/java/beamspread/cli/QueryCommand.java
+++ b/src/main/java/beamspread/cli/QueryCommand.java
@@ -1,6 +1,5 @@
 package beamspread.cli;
 
-import beamspread.fleet.AgentCallException;
 import beamspread.fleet.Fleet;
 import beamspread.fleet.Target;
 import beamspread.fleet.api.Api;
@@ -39,11 +38,8 @@
               }
               return found;
             });
-    for (AgentCallException failure : views.failures().values()) {
-      if (!answers.failures().containsKey(failure.getMessage())) {
-        code = 3;
-      }
-    }
+    views.failures().keySet().removeAll(answers.failures().keySet());
+    code = Math.max(code, tell(views.failures()));
     List<Api.InstanceView> all = Fleet.flat(views);
     if (json()) {
       print(new Api.Instances(all));
--- a/src/main/java/beamspread/cli/Scratch.java
+++ b/src/main/java/beamspread/cli/Scratch.java
@@ -26,8 +26,14 @@
   private final List<Agent> agents = new ArrayList<>();
   private final List<String> agentFolders = new ArrayList<>();
 
+  /** Ends what was started also where the user ends this process. */
+  private final Thread atExit = new Thread(this::end, "scratch");
+
+  private boolean ended;
+
   Scratch() throws IOException {
     folder = Files.createTempDirectory("beamspread");
+    Runtime.getRuntime().addShutdownHook(atExit);
   }
 
   Path folder() {
@@ -133,21 +139,34 @@
   }
 
   @Override
-  public void close() throws IOException {
-    for (Agent agent : agents) {
-      agent.close();
+  public void close() {
+    end();
+    try {
+      Runtime.getRuntime().removeShutdownHook(atExit);
+    } catch (IllegalStateException e) {
+      // The process ends, and the hook has nothing left to do.
     }
-    for (String run : agentFolders) {
-      try (var files = Files.list(Path.of(run))) {
-        for (Path file : files.filter(one -> one.toString().endsWith(".pid")).toList()) {
-          Agent.stopLeftBehind(file);
+  }
+
+  private synchronized void end() {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    agents.forEach(Agent::close);
+    try {
+      for (String run : agentFolders) {
+        try (var files = Files.list(Path.of(run))) {
+          files.filter(one -> one.toString().endsWith(".pid")).forEach(Agent::stopLeftBehind);
         }
       }
-    }
-    try (var all = Files.walk(folder)) {
-      for (Path file : all.sorted(Comparator.reverseOrder()).toList()) {
-        Files.deleteIfExists(file);
+      try (var all = Files.walk(folder)) {
+        for (Path file : all.sorted(Comparator.reverseOrder()).toList()) {
+          Files.deleteIfExists(file);
+        }
       }
+    } catch (IOException e) {
+      System.err.println("left behind in " + folder + ": " + e.getMessage());
     }
   }
 }
--- a/src/main/java/beamspread/fleet/Resume.java
+++ b/src/main/java/beamspread/fleet/Resume.java
@@ -44,7 +44,7 @@
                 target,
                 last.outcome(),
                 last.reason(),
-                last.endedMs() - last.beganMs(),
+                Math.max(0, last.endedMs() - last.beganMs()),
                 last.endedMs()));
       } else {
         left.add(target);
--- a/src/main/java/beamspread/fleet/RolloutRunner.java
+++ b/src/main/java/beamspread/fleet/RolloutRunner.java
@@ -408,7 +408,7 @@
               "the agent has no such step on record: it was not begun, or its record is older",
               0);
         } else if (step.outcome() != null) {
-          end(work, step.outcome(), step.reason(), step.endedMs() - step.beganMs());
+          end(work, step.outcome(), step.reason(), Math.max(0, step.endedMs() - step.beganMs()));
         }
       }
       return over;
--- a/src/test/java/beamspread/agent/AgentServerTest.java
+++ b/src/test/java/beamspread/agent/AgentServerTest.java
@@ -335,6 +335,19 @@
               });
       AgentRig.await("the node has read its file", () -> rig.saw("n1").size() == 2);
       AgentRig.await("its end is tried", server::faultsDone);
+      try (Fleet fleet = rig.fleet()) {
+        AgentRig.await(
+            "and does not get through",
+            () -> {
+              try {
+                return rig.client(fleet).agent().trouble() != null;
+              } catch (AgentCallException e) {
+                throw new AssertionError(e);
+              }
+            });
+        // Whoever else wants the instance meanwhile is turned away.
+        assertThat(rig.view("n1").held().operation()).isEqualTo("slow");
+      }
       assertThat(running).isNotDone();
       server.release();
       assertThat(AgentRig.outcomes(running.get(60, TimeUnit.SECONDS)))
--- a/src/test/java/beamspread/cli/FleetCommandTest.java
+++ b/src/test/java/beamspread/cli/FleetCommandTest.java
@@ -5,7 +5,6 @@
 import beamspread.agent.Agent;
 import beamspread.fleet.api.Json;
 import com.fasterxml.jackson.databind.JsonNode;
-import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.nio.file.Files;
@@ -44,7 +43,7 @@
   }
 
   @AfterEach
-  void close() throws IOException {
+  void close() {
     scratch.close();
   }
 
