Tests of steps asked for twice, limits, bounded logs and an operation that the record has lost

Need: a change that takes out the guard against a step asked for twice failed no test. Change: four tests over processes. Result: all pass; the guard's absence now fails one.

--- a/src/test/java/beamspread/agent/AgentTest.java
+++ b/src/test/java/beamspread/agent/AgentTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import beamspread.fleet.AgentCallException;
 import beamspread.fleet.Fleet;
 import beamspread.fleet.api.Api;
 import beamspread.fleet.api.Kind;
@@ -235,6 +236,113 @@
     }
   }
 
+  @Test
+  void aStepThatIsAskedForTwiceIsDoneOnce() throws Exception {
+    rig.instance("n1").startAndWait();
+    try (Fleet fleet = rig.fleet()) {
+      var client = rig.client(fleet);
+      Api.LeaseGiven given =
+          client.lease(
+              new Api.LeaseAsk("s1", "twice", Kind.RELOAD, "anna", List.of("n1"), 20_000, null));
+      Api.StepsAsk ask =
+          new Api.StepsAsk(
+              "twice", Kind.RELOAD, List.of(new Api.StepAsk("n1", given.tokens().get("n1"), 1)));
+      // While the first is under way, and after it has ended.
+      client.steps(ask);
+      client.steps(ask);
+      AgentRig.await(
+          "it ends",
+          () -> {
+            try {
+              return client.operation("twice", 1000, 0).steps().get(0).outcome() != null;
+            } catch (AgentCallException e) {
+              throw new AssertionError(e);
+            }
+          });
+      assertThat(client.steps(ask).steps()).hasSize(1);
+      // A second try under its own number is a step of its own.
+      client.steps(
+          new Api.StepsAsk(
+              "twice", Kind.RELOAD, List.of(new Api.StepAsk("n1", given.tokens().get("n1"), 2))));
+      AgentRig.await("the second is done", () -> rig.saw("n1").size() == 3);
+      assertThat(client.operation("twice", 0, 0).steps()).hasSize(2);
+    }
+    assertThat(rig.saw("n1")).hasSize(3);
+  }
+
+  @Test
+  void limitsAndEnvironmentReachTheInstance() throws Exception {
+    rig.raw(
+            "n1",
+            "z",
+            List.of("/bin/sh", "-c", "echo $(ulimit -n) $COLOUR $ROUTER_CONFIG; exec sleep 60"),
+            "limits = {descriptors = 321}\nenv = {COLOUR = \"red\"}\n")
+        .startAndWait();
+    try (Fleet fleet = rig.fleet()) {
+      assertThat(rig.client(fleet).log("n1", 5)).containsExactly("321 red " + rig.config("n1"));
+    }
+  }
+
+  @Test
+  void aLogIsBoundedAndKeepsItsEnd() throws Exception {
+    InstanceLog log = new InstanceLog(folder.resolve("log"));
+    assertThat(log.tail(3)).isEmpty();
+    StringBuilder lines = new StringBuilder();
+    for (int i = 0; lines.length() < 2 << 20; i++) {
+      lines.append("line ").append(i).append('\n');
+    }
+    lines.append("the last one\n");
+    Files.writeString(log.file(), lines);
+    assertThat(log.tail(1)).containsExactly("the last one");
+    log.trim();
+    assertThat(Files.size(log.file())).isZero();
+    assertThat(Files.size(folder.resolve("log.1"))).isEqualTo(256 << 10);
+    assertThat(Files.readString(folder.resolve("log.1"))).endsWith("the last one\n");
+  }
+
+  @Test
+  void anOperationThatTheRecordHasLostIsUnknownToItsCaller() throws Exception {
+    rig.instance("n1", "slow-hup=1500").startAndWait();
+    Path record = folder.resolve("a1/run/record.db");
+    rig.closeAgent();
+    byte[] old = Files.readAllBytes(record);
+    int port;
+    rig.start();
+    rig.awaitRunning();
+    port = java.net.URI.create(rig.agent.url()).getPort();
+    var running =
+        java.util.concurrent.CompletableFuture.supplyAsync(
+            () -> {
+              try (Fleet fleet = rig.fleet()) {
+                return AgentRig.run(fleet, "lost", Kind.RELOAD, "n1");
+              } catch (Exception e) {
+                throw new IllegalStateException(e);
+              }
+            });
+    AgentRig.await("the step is taken on", () -> rig.view("n1").held() != null);
+    try (Fleet fleet = rig.fleet()) {
+      AgentRig.await(
+          "and begun",
+          () -> {
+            try {
+              return !rig.client(fleet).operation("lost", 0, 0).steps().isEmpty();
+            } catch (AgentCallException e) {
+              return false;
+            }
+          });
+    }
+    rig.closeAgent();
+    Files.write(record, old);
+    Files.deleteIfExists(record.resolveSibling("record.db-wal"));
+    Files.deleteIfExists(record.resolveSibling("record.db-shm"));
+    // It comes back at the same address.
+    Path file = rig.folder.resolve("agent.toml");
+    Files.writeString(file, Files.readString(file).replace("127.0.0.1:0", "127.0.0.1:" + port));
+    rig.agent = Agent.start(file);
+    assertThat(AgentRig.outcomes(running.get(60, java.util.concurrent.TimeUnit.SECONDS)).get("n1"))
+        .startsWith("unknown: the agent no longer has on record what it had taken on");
+  }
+
   @Test
   void faultsInTheFileStartNothing() throws Exception {
     rig.instance("n1").instance("n1").append("[api2]\nx = 1\n");
