One way to ask for an operation's views; counters that nobody read and a derivable variable go

Need: resume and show asked all agents for an operation each in their own way, the stand-in for PostgreSQL counted what nobody looked at, and Resume kept a view only to test it for null.

Change: Fleet.operation asks and leaves out agents that have nothing on record; both commands use it. The rest is removed. Behaviour is as before.

--- a/src/main/java/beamspread/cli/ResumeCommand.java
+++ b/src/main/java/beamspread/cli/ResumeCommand.java
@@ -4,10 +4,8 @@
 import beamspread.fleet.Report;
 import beamspread.fleet.Resume;
 import beamspread.fleet.RolloutRunner;
-import beamspread.fleet.Selection;
 import beamspread.fleet.api.Api;
 import java.util.Map;
-import java.util.TreeMap;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -26,7 +24,9 @@
 
   @Override
   int run(Fleet fleet) throws Exception {
-    Map<String, Api.OperationView> views = views(fleet, operation);
+    var answers = fleet.operation(operation);
+    tell(answers.failures());
+    Map<String, Api.OperationView> views = answers.answers();
     if (views.isEmpty()) {
       throw usage("no agent that answers has an operation '" + operation + "' on record");
     }
@@ -39,20 +39,4 @@
             .run(operation, ActionCommand.by(by), resume.plan(), resume.attempts(), resume.done());
     return ActionCommand.tell(this, report, true);
   }
-
-  /** What the agents have on record of an operation. */
-  private Map<String, Api.OperationView> views(Fleet fleet, String id) {
-    Map<String, Api.OperationView> views = new TreeMap<>();
-    var answers = fleet.ask(Selection.all(), client -> client.operation(id, 0, 0));
-    views.putAll(answers.answers());
-    answers
-        .failures()
-        .forEach(
-            (agent, failure) -> {
-              if (!failure.is("unknown_operation")) {
-                err().println(failure.getMessage());
-              }
-            });
-    return views;
-  }
 }
--- a/src/main/java/beamspread/cli/ShowCommand.java
+++ b/src/main/java/beamspread/cli/ShowCommand.java
@@ -1,7 +1,6 @@
 package beamspread.cli;
 
 import beamspread.fleet.Fleet;
-import beamspread.fleet.Selection;
 import beamspread.fleet.api.Api;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Parameters;
@@ -17,8 +16,7 @@
 
   @Override
   int run(Fleet fleet) {
-    var answers = fleet.ask(Selection.all(), client -> client.operation(operation, 0, 0));
-    answers.failures().values().removeIf(failure -> failure.is("unknown_operation"));
+    var answers = fleet.operation(operation);
     if (answers.answers().isEmpty()) {
       int code = tell(answers.failures());
       if (code != 0) {
--- a/src/main/java/beamspread/fleet/Fleet.java
+++ b/src/main/java/beamspread/fleet/Fleet.java
@@ -102,6 +102,13 @@
     return ask(selection, AgentClient::instances);
   }
 
+  /** What the agents have on record of an operation; having nothing is no failure. */
+  public Answers<Api.OperationView> operation(String id) {
+    Answers<Api.OperationView> views = ask(Selection.all(), client -> client.operation(id, 0, 0));
+    views.failures().values().removeIf(failure -> failure.is("unknown_operation"));
+    return views;
+  }
+
   /** The values of all answers as one list. */
   public static <T> List<T> flat(Answers<List<T>> answers) {
     List<T> all = new ArrayList<>();
--- a/src/main/java/beamspread/fleet/Resume.java
+++ b/src/main/java/beamspread/fleet/Resume.java
@@ -19,17 +19,15 @@
 
   /** Puts together what is left, from the views of all agents that have one. */
   public static Resume of(Map<String, Api.OperationView> views) throws Json.BadJsonException {
-    Api.OperationView first = null;
     RolloutPlan plan = null;
     for (Api.OperationView view : views.values()) {
       RolloutPlan one = Json.read(Json.text(view.plan()), RolloutPlan.class);
       // The widest plan: a run that resumed a part may have kept less.
       if (plan == null || one.targets().size() > plan.targets().size()) {
         plan = one;
-        first = view;
       }
     }
-    if (first == null || plan == null) {
+    if (plan == null) {
       throw new IllegalArgumentException("no views");
     }
     List<Target> left = new ArrayList<>();
--- a/src/main/java/beamspread/standin/postgres/PgServer.java
+++ b/src/main/java/beamspread/standin/postgres/PgServer.java
@@ -29,7 +29,6 @@
   private final Map<Integer, PgSession> sessions = new ConcurrentHashMap<>();
   private final List<PgFault> faults = new CopyOnWriteArrayList<>();
   private final AtomicInteger nextId = new AtomicInteger(1);
-  private final AtomicInteger statements = new AtomicInteger();
   private volatile boolean stalling;
   private volatile boolean refusing;
 
@@ -71,16 +70,6 @@
     sessions.values().forEach(PgSession::breakOff);
   }
 
-  /** How many statements were run. */
-  public int statements() {
-    return statements.get();
-  }
-
-  /** How many connections are open. */
-  public int sessions() {
-    return sessions.size();
-  }
-
   private void accept() {
     while (!listener.isClosed()) {
       try {
@@ -131,10 +120,6 @@
     return null;
   }
 
-  void counted() {
-    statements.incrementAndGet();
-  }
-
   @Override
   public void close() throws IOException, SQLException {
     stalling = false;
--- a/src/main/java/beamspread/standin/postgres/PgSession.java
+++ b/src/main/java/beamspread/standin/postgres/PgSession.java
@@ -396,7 +396,6 @@
   /** Runs a statement, with the fault that befalls it. */
   private void run(Portal portal) throws IOException, PgError {
     PgStatement statement = portal.statement;
-    server.counted();
     cancelled = false;
     PgFault fault = server.fault(statement.sql());
     if (fault != null) {
