Closes that look first: what lies in a socket is taken in before a connection ends

Change: a close is decided by what the socket holds. SocketLook reads a socket between two turns of the loop; whoever is due, or would give way, is looked at once more first, and what lies there is answered. The same for a drain (whose listener also accepts what has connected), for a command that seems half here, for a client that seems to read nothing, and on the side of cache servers for a time-out and for a reply that seems stuck. What a drain finds and may not live to answer is refused as busy. LoopWatch measures the loop's turns: pauses of 50 ms and more do not count as a client's idle time, are one line in the log, and stand in the status as longest_turn_ms and pauses. The node's log can be JSON (log_format). node.client, node.wire and loop are packages of their own.

--- /dev/null
+++ b/src/main/java/beamspread/loop/WatchedIoHandler.java
@@ -0,0 +1,101 @@
+package beamspread.loop;
+
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoRegistration;
+
+/** An event loop's I/O, with a watch that is told when the loop waits and when it works. */
+public final class WatchedIoHandler implements IoHandler {
+  private final IoHandler inner;
+  private final LoopWatch watch;
+
+  private WatchedIoHandler(IoHandler inner, LoopWatch watch) {
+    this.inner = inner;
+    this.watch = watch;
+  }
+
+  /** A factory for the one loop that this watch belongs to. */
+  public static IoHandlerFactory factory(IoHandlerFactory inner, LoopWatch watch) {
+    return executor -> new WatchedIoHandler(inner.newHandler(executor), watch);
+  }
+
+  @Override
+  public int run(IoHandlerContext context) {
+    Timed timed = new Timed(context);
+    long now = System.nanoTime();
+    watch.waits(now, context.canBlock() ? context.delayNanos(now) : 0);
+    int handled = inner.run(timed);
+    watch.ran(System.nanoTime(), timed.busy);
+    return handled;
+  }
+
+  /** Learns how much of a run was work. */
+  private static final class Timed implements IoHandlerContext {
+    private final IoHandlerContext inner;
+    private long busy;
+
+    Timed(IoHandlerContext inner) {
+      this.inner = inner;
+    }
+
+    @Override
+    public boolean canBlock() {
+      return inner.canBlock();
+    }
+
+    @Override
+    public long delayNanos(long now) {
+      return inner.delayNanos(now);
+    }
+
+    @Override
+    public long deadlineNanos() {
+      return inner.deadlineNanos();
+    }
+
+    @Override
+    public void reportActiveIoTime(long nanos) {
+      busy += nanos;
+      if (inner.shouldReportActiveIoTime()) {
+        inner.reportActiveIoTime(nanos);
+      }
+    }
+
+    @Override
+    public boolean shouldReportActiveIoTime() {
+      return true;
+    }
+  }
+
+  @Override
+  public void initialize() {
+    inner.initialize();
+  }
+
+  @Override
+  public void prepareToDestroy() {
+    inner.prepareToDestroy();
+  }
+
+  @Override
+  public void destroy() {
+    inner.destroy();
+  }
+
+  @Override
+  public IoRegistration register(IoHandle handle) throws Exception {
+    return inner.register(handle);
+  }
+
+  @Override
+  public void wakeup() {
+    inner.wakeup();
+  }
+
+  @Override
+  public boolean isCompatible(Class<? extends IoHandle> type) {
+    return inner.isCompatible(type);
+  }
+}
--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -4,6 +4,10 @@
 import beamspread.model.MembershipUpdate;
 import beamspread.model.Outcome;
 import beamspread.model.Settings;
+import beamspread.node.client.ClientHandler;
+import beamspread.node.client.Requests;
+import beamspread.node.wire.MetaCommand;
+import beamspread.node.wire.MetaReply;
 import beamspread.policy.Actions;
 import beamspread.policy.Balancer;
 import io.netty.bootstrap.Bootstrap;
@@ -21,7 +25,7 @@
  * Stands between the decision module and the sockets: tells it what happens, one event after the
  * other, and carries out what it decides. All of it runs on the event loop.
  */
-final class Dispatcher implements Actions {
+final class Dispatcher implements Actions, Requests {
   /**
    * The node stops waiting for an attempt this long before the client stops waiting for the node,
    * so that the module hears of the time-out before it must answer, and the answer is in time.
@@ -146,14 +150,15 @@
     return open.size();
   }
 
-  void report(String where, Throwable cause) {
+  @Override
+  public void report(String where, Throwable cause) {
     log.failure(where, cause);
   }
 
   // What clients do.
 
-  /** Takes a client's request; null if it was answered at once. */
-  OpenRequest request(MetaCommand command, ClientHandler.Slot slot) {
+  @Override
+  public Taken request(MetaCommand command, ClientHandler.Slot slot) {
     if (open.containsKey(command.request.id())) {
       command.release();
       slot.line("CLIENT_ERROR id in use");
@@ -172,11 +177,10 @@
             end(request, "SERVER_ERROR failed");
           }
         });
-    return request;
+    return () -> clientGone(request);
   }
 
-  /** The client has closed its connection. */
-  void clientGone(OpenRequest request) {
+  private void clientGone(OpenRequest request) {
     if (request.ended) {
       return;
     }
@@ -299,13 +303,21 @@
       return;
     }
     attempt.timeout =
-        loop.schedule(
-            () -> withdraw(attempt, Outcome.Result.TIMEOUT),
-            Math.max(0, deadline - now),
-            TimeUnit.NANOSECONDS);
+        loop.schedule(() -> timeOut(attempt), Math.max(0, deadline - now), TimeUnit.NANOSECONDS);
     pools.send(attempt);
   }
 
+  /**
+   * An attempt's time is over. Guards against giving up one whose answer has come while this node
+   * did not run: the timer is due before the loop has looked at the socket.
+   */
+  private void timeOut(Attempt attempt) {
+    if (attempt.connection != null) {
+      attempt.connection.look();
+    }
+    withdraw(attempt, Outcome.Result.TIMEOUT);
+  }
+
   /** Stops waiting for an attempt. */
   private void withdraw(Attempt attempt, Outcome.Result result) {
     if (!attempt.over) {
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -1,5 +1,12 @@
 package beamspread.node;
 
+import beamspread.loop.LoopWatch;
+import beamspread.loop.SocketLook;
+import beamspread.loop.WatchedIoHandler;
+import beamspread.node.client.ClientConnections;
+import beamspread.node.client.ClientHandler;
+import beamspread.node.wire.MemoryBudget;
+import beamspread.node.wire.MetaCommand;
 import beamspread.sim.WireException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.PooledByteBufAllocator;
@@ -23,6 +30,9 @@
   /** New connections go on coming for so long after a planned restart has begun. */
   private static final long ACCEPT_MILLIS = 500;
 
+  /** Rounds of up to 16 connections that are accepted before the listener closes. */
+  private static final int ACCEPT_ROUNDS = 16;
+
   /**
    * Descriptors kept for files and pipes of the virtual machine, the selector, discovery, and
    * sockets that were closed and are not yet released.
@@ -56,7 +66,8 @@
   private final ServerPools pools;
   private final Dispatcher dispatcher;
   private final MemoryBudget values;
-  private final Log log = new Log();
+  private final Log log;
+  private final LoopWatch watch;
   private final CountDownLatch drained = new CountDownLatch(1);
   private Channel listener;
   private StatusSocket statusSocket;
@@ -74,8 +85,12 @@
   Node(NodeConfig config, ClientConnections.Limits limits, Transport transport) {
     this.config = config;
     this.transport = transport;
-    clients = new ClientConnections(limits);
-    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    log = new Log(config.name(), config.jsonLog());
+    watch = new LoopWatch(this::paused);
+    clients = new ClientConnections(limits, watch);
+    group =
+        new MultiThreadIoEventLoopGroup(
+            1, WatchedIoHandler.factory(NioIoHandler.newFactory(), watch));
     loop = group.next();
     values = new MemoryBudget((long) config.memoryMb() << 16);
     allocator = new PooledByteBufAllocator(true, 0, 1, 8192, 6, 64, 16, true);
@@ -112,6 +127,10 @@
         STUCK_NANOS);
   }
 
+  private void paused(long nanos) {
+    log.line("the event loop stood still for " + nanos / 1_000_000 + " ms");
+  }
+
   /** Tells the status where the configuration says so. */
   private void tellStatus() throws IOException, InterruptedException {
     if (config.statusSocket() != null) {
@@ -135,7 +154,9 @@
         clients.count(),
         pools.sockets(),
         pools.states(),
-        draining);
+        draining,
+        watch.longestNanos() / 1_000_000,
+        watch.pauses());
   }
 
   /** Runs a node until it is told to end; returns the exit code. */
@@ -149,8 +170,7 @@
       System.err.println("serve: " + e.getMessage());
       return 2;
     }
-    Log log = new Log();
-    Rehearsal.run(config, log);
+    Rehearsal.run(config, new Log(config.name(), config.jsonLog()));
     Node node = new Node(config);
     if (config.statusSocket() != null) {
       String digest = digest(bytes);
@@ -253,15 +273,18 @@
    */
   void drain() {
     loop.execute(() -> draining = true);
+    long millis = (long) (config.longestDeadline() * 1e3) + ACCEPT_MILLIS + 100;
+    long until = System.nanoTime() + millis * 1_000_000L;
     loop.schedule(
         () -> {
+          // Whoever has connected while this node did not run was told that it listens.
+          SocketLook.accept(listener, clients::accepted, ACCEPT_ROUNDS);
           listener.close();
-          clients.drain(drained::countDown);
+          clients.drain(until, drained::countDown);
         },
         ACCEPT_MILLIS,
         TimeUnit.MILLISECONDS);
     try {
-      long millis = (long) (config.longestDeadline() * 1e3) + ACCEPT_MILLIS + 100;
       drained.await(millis, TimeUnit.MILLISECONDS);
       if (statusSocket != null) {
         statusSocket.close();
@@ -274,7 +297,7 @@
   /** Rehearses on made-up settings, for a look at what a start loads; returns the exit code. */
   public static int rehearse() {
     try {
-      return Rehearsal.run(Rehearsal.sample(), new Log()) > 0 ? 0 : 1;
+      return Rehearsal.run(Rehearsal.sample(), new Log("rehearsal", false)) > 0 ? 0 : 1;
     } catch (WireException e) {
       throw new IllegalStateException(e);
     }
@@ -284,6 +307,18 @@
     return loop;
   }
 
+  int clients() {
+    return clients.count();
+  }
+
+  boolean drainsClients() {
+    return clients.draining();
+  }
+
+  LoopWatch watch() {
+    return watch;
+  }
+
   /** Ends at once. */
   @Override
   public void close() {
--- a/src/main/java/beamspread/node/NodeConfig.java
+++ b/src/main/java/beamspread/node/NodeConfig.java
@@ -23,6 +23,8 @@
  * @param memoryMb memory that the process may hold
  * @param known the list of servers as this node last had it
  * @param settings the object that an instance in the simulator is told
+ * @param name the node's name, for its log
+ * @param jsonLog whether its log is one JSON object a line
  * @param statusSocket the file of the Unix domain socket on which the node tells its status; null
  *     for none
  */
@@ -34,6 +36,8 @@
     int memoryMb,
     MemberList known,
     Settings settings,
+    String name,
+    boolean jsonLog,
     String statusSocket) {
 
   /** The bytes of the file of this name, usually from {@code ROUTER_CONFIG}. */
@@ -73,9 +77,18 @@
         (int) limits.requiredNumber("memory_mb"),
         MemberList.parse(config.requiredNested("known")),
         settings,
+        config.text("name", "node"),
+        jsonLog(config.text("log_format", "text")),
         config.text("status_socket", null));
   }
 
+  private static boolean jsonLog(String format) throws WireException {
+    if (!format.equals("text") && !format.equals("json")) {
+      throw new WireException("log_format '" + format + "' is neither text nor json");
+    }
+    return format.equals("json");
+  }
+
   private static long seed(String text) throws WireException {
     try {
       return Long.parseUnsignedLong(text, 16);
@@ -92,6 +105,7 @@
         || !listen.equals(started.listen)
         || sockets != started.sockets
         || memoryMb != started.memoryMb
+        || jsonLog != started.jsonLog
         || !Objects.equals(statusSocket, started.statusSocket);
   }
 
--- a/src/main/java/beamspread/node/NodeStatus.java
+++ b/src/main/java/beamspread/node/NodeStatus.java
@@ -18,6 +18,8 @@
  * @param serverConnections sockets to cache servers: open, coming up, or being given up
  * @param servers how many cache servers the list names in each state
  * @param draining whether a planned restart has begun
+ * @param longestTurnMs the longest turn of the event loop since the start, in milliseconds
+ * @param pauses how many turns took 50 ms or more
  */
 record NodeStatus(
     Configuration configuration,
@@ -26,7 +28,9 @@
     int clientConnections,
     int serverConnections,
     Map<ServerEntry.State, Integer> servers,
-    boolean draining) {
+    boolean draining,
+    long longestTurnMs,
+    int pauses) {
 
   /**
    * How the readings of the configuration fared. A reading is over, for good or ill, when {@code
@@ -80,6 +84,8 @@
       json.writeNumberField("leaving", servers.getOrDefault(ServerEntry.State.DRAINING, 0));
       json.writeEndObject();
       json.writeBooleanField("draining", draining);
+      json.writeNumberField("longest_turn_ms", longestTurnMs);
+      json.writeNumberField("pauses", pauses);
       json.writeEndObject();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
--- a/src/main/java/beamspread/node/OpenRequest.java
+++ b/src/main/java/beamspread/node/OpenRequest.java
@@ -1,5 +1,7 @@
 package beamspread.node;
 
+import beamspread.node.client.ClientHandler;
+import beamspread.node.wire.MetaCommand;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/main/java/beamspread/node/Rehearsal.java
+++ b/src/main/java/beamspread/node/Rehearsal.java
@@ -2,6 +2,10 @@
 
 import beamspread.model.ServerEntry;
 import beamspread.model.Settings;
+import beamspread.node.client.ClientConnections;
+import beamspread.node.wire.MemoryBudget;
+import beamspread.node.wire.MetaCommand;
+import beamspread.node.wire.MetaReply;
 import beamspread.sim.Message;
 import beamspread.sim.WireException;
 import io.netty.buffer.ByteBufUtil;
@@ -105,6 +109,8 @@
             config.memoryMb(),
             new MemberList(true, 1, members),
             config.settings(),
+            "rehearsal",
+            false,
             null);
     Node node = new Node(rehearsed, ClientConnections.Limits.usual(8), Transport.DOMAIN);
     try {
--- a/src/main/java/beamspread/node/ServerConnection.java
+++ b/src/main/java/beamspread/node/ServerConnection.java
@@ -1,6 +1,8 @@
 package beamspread.node;
 
+import beamspread.loop.SocketLook;
 import beamspread.model.Outcome;
+import beamspread.node.wire.MetaReply;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -239,11 +241,20 @@
    * limit is far above what a network needs; set too low, it would break slow but good answers.
    */
   void closeIfStuck(long now, long limit) {
-    if (midwaySince != 0 && now - midwaySince > limit && !closed) {
-      spoil();
+    long since = midwaySince;
+    if (since != 0 && now - since > limit && !closed) {
+      look();
+      if (midwaySince == since && !closed) {
+        spoil();
+      }
     }
   }
 
+  /** Takes in what lies in the socket; only from a task of the event loop. */
+  void look() {
+    SocketLook.read(channel);
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     closed = true;
--- a/src/main/java/beamspread/node/ClientConnections.java
+++ b/src/main/java/beamspread/node/client/ClientConnections.java
@@ -1,11 +1,12 @@
-package beamspread.node;
+package beamspread.node.client;
 
+import beamspread.loop.LoopWatch;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 
 /** All connections of clients: which are idle, and which must give way. */
-final class ClientConnections {
+public final class ClientConnections {
   /**
    * What bounds the clients' connections.
    *
@@ -16,7 +17,7 @@
    * @param stallNanos how long a client may read nothing of what waits for it
    * @param lingerNanos how long a client that was turned away has to read why
    */
-  record Limits(
+  public record Limits(
       int connections,
       long commandNanos,
       long idleNanos,
@@ -24,7 +25,8 @@
       long stallNanos,
       long lingerNanos) {
 
-    static Limits usual(int connections) {
+    /** What a node has, for this many connections. */
+    public static Limits usual(int connections) {
       return new Limits(
           connections,
           2_000_000_000L,
@@ -42,6 +44,7 @@
   private static final int CROWD = 3;
 
   private final Limits limits;
+  private final LoopWatch watch;
   private final LinkedHashSet<ClientHandler> open = new LinkedHashSet<>();
 
   /** Those that have asked for nothing yet, oldest first. */
@@ -53,17 +56,27 @@
   /** Those that were turned away and only wait for their end. */
   private final LinkedHashSet<ClientHandler> lingering = new LinkedHashSet<>();
 
-  private boolean draining;
+  private volatile boolean draining;
+  private long takenUntil;
   private Runnable whenEmpty;
+  private long accepted;
 
-  ClientConnections(Limits limits) {
+  /** None yet; the watch is that of the event loop that they are on. */
+  public ClientConnections(Limits limits, LoopWatch watch) {
     this.limits = limits;
+    this.watch = watch;
   }
 
   Limits limits() {
     return limits;
   }
 
+  /** Nanoseconds that leave out the time in which the event loop did not run. */
+  long idleClock() {
+    long now = System.nanoTime();
+    return now - watch.lostNanos(now);
+  }
+
   /**
    * How long a connection is kept between requests. Guards against clients that ask once and keep
    * their connection: these use up what all clients together may hold, long before this node runs
@@ -81,6 +94,7 @@
    * does. It could do harm to clients that connect long before they ask; these connect again.
    */
   boolean opened(ClientHandler client) {
+    accepted++;
     boolean room = open.size() < limits.connections() || makeRoom();
     open.add(client);
     if (room) {
@@ -89,23 +103,38 @@
     return room;
   }
 
+  /**
+   * Ends whoever waits least. Guards with a look at each against ending one that has asked while
+   * this node did not run: its request lies in the socket, and is taken instead.
+   */
   private boolean makeRoom() {
     ClientHandler last = first(lingering);
-    if (last == null) {
-      last = first(fresh);
-      if (last != null && System.nanoTime() - last.since() < FRESH_NANOS && !idle.isEmpty()) {
-        last = null;
-      }
+    if (last != null) {
+      forget(last);
+      last.dropLingering();
+      return true;
     }
-    if (last == null) {
-      last = first(idle);
+    // Who has asked is busy after a look, or behind all others, so that each is looked at once.
+    for (int looks = fresh.size() + idle.size(); looks > 0; looks--) {
+      last = leastWaiting();
+      if (last == null) {
+        return false;
+      }
+      if (last.looksQuiet()) {
+        forget(last);
+        last.drop();
+        return true;
+      }
     }
-    if (last == null) {
-      return false;
+    return false;
+  }
+
+  private ClientHandler leastWaiting() {
+    ClientHandler last = first(fresh);
+    if (last != null && idleClock() - last.restsSince() < FRESH_NANOS && !idle.isEmpty()) {
+      last = null;
     }
-    forget(last);
-    last.drop();
-    return true;
+    return last == null ? first(idle) : last;
   }
 
   private static ClientHandler first(LinkedHashSet<ClientHandler> set) {
@@ -121,7 +150,7 @@
   /** Nothing is owed to the client, and it has asked before. */
   void idle(ClientHandler client) {
     if (draining) {
-      client.closeWhenWritten();
+      client.leave();
     } else {
       idle.add(client);
     }
@@ -146,23 +175,45 @@
   }
 
   /** Ends what has outlived its time. */
-  void sweep(long now) {
+  public void sweep(long now) {
     for (ClientHandler client : List.copyOf(open)) {
       client.sweep(now);
     }
   }
 
-  int count() {
+  /** How many are open. */
+  public int count() {
     return open.size();
   }
 
-  boolean draining() {
+  /** How many have ever been accepted. */
+  public long accepted() {
+    return accepted;
+  }
+
+  /** Whether a planned restart ends them. */
+  public boolean draining() {
     return draining;
   }
 
-  /** From now on closes each connection as it falls idle; runs the step when none is left. */
-  void drain(Runnable then) {
+  /**
+   * Whether a request with so much time can still be answered here. Guards a request that is found
+   * late in a drain: what this node may not live to answer is refused, and can go elsewhere.
+   *
+   * @param budget seconds
+   */
+  boolean mayTake(double budget) {
+    return !draining || System.nanoTime() + (long) (budget * 1e9) - takenUntil <= 0;
+  }
+
+  /**
+   * From now on closes each connection as it falls idle; runs the step when none is left.
+   *
+   * @param until when this node ends at the latest, on the clock of {@link System#nanoTime()}
+   */
+  public void drain(long until, Runnable then) {
     draining = true;
+    takenUntil = until;
     whenEmpty = then;
     for (ClientHandler client : List.copyOf(open)) {
       client.drain();
--- a/src/main/java/beamspread/node/ClientHandler.java
+++ b/src/main/java/beamspread/node/client/ClientHandler.java
@@ -1,19 +1,24 @@
-package beamspread.node;
+package beamspread.node.client;
 
+import beamspread.loop.SocketLook;
+import beamspread.node.wire.MetaCommand;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
 import java.io.IOException;
 import java.util.ArrayDeque;
 
-/** A client's connection: takes its commands and gives the answers in their order. */
-final class ClientHandler extends ChannelInboundHandlerAdapter {
+/**
+ * A client's connection: takes its commands and gives the answers in their order. It ends one
+ * between requests only once a look at its socket has found nothing more: what lies there was sent
+ * to a node that still listened, and would be lost.
+ */
+public final class ClientHandler extends ChannelInboundHandlerAdapter {
   /**
    * Requests that one connection may have open: as many as a cache server takes on one. Guards
    * against a client that sends more than it waits for; what goes beyond is refused, truthfully.
@@ -29,14 +34,17 @@
    */
   private static final int MAX_STRIKES = 16;
 
-  private final Dispatcher dispatcher;
+  private final Requests requests;
   private final ClientConnections connections;
   private final MetaCommand.Decoder decoder;
   private final ArrayDeque<Slot> slots = new ArrayDeque<>();
   private Channel channel;
 
-  /** Since when it is as it is now: fresh, idle, busy or lingering. */
-  private long since = System.nanoTime();
+  /** Since when it is fresh or idle, on the clock that leaves out pauses of the loop. */
+  private long restsSince;
+
+  /** Since when it lingers or closes. */
+  private long endsSince;
 
   private long midwaySince;
   private long stalledSince;
@@ -48,40 +56,50 @@
   /** Whether a drain has ended the reading. */
   private boolean stopped;
 
+  /** Whether a command has come since the last look. */
+  private boolean heard;
+
+  /** Whether it is to end as soon as all is written and nothing more has come. */
+  private boolean leaving;
+
   /** Whether no more commands are taken: the last answer is given or waits for those before it. */
   private boolean closing;
 
   /** Whether all is written, and only the client's end is waited for. */
   private boolean lingering;
 
-  ClientHandler(Dispatcher dispatcher, ClientConnections connections, MetaCommand.Decoder decoder) {
-    this.dispatcher = dispatcher;
+  /** A handler for one connection, behind its decoder. */
+  public ClientHandler(
+      Requests requests, ClientConnections connections, MetaCommand.Decoder decoder) {
+    this.requests = requests;
     this.connections = connections;
     this.decoder = decoder;
+    restsSince = connections.idleClock();
   }
 
   /** The place of one answer in the order of a connection's answers. */
-  final class Slot {
-    private OpenRequest request;
+  public final class Slot {
+    private Requests.Taken request;
 
     /** The answer, while it waits for those before it. */
     private ByteBuf waiting;
 
     private boolean last;
 
-    ByteBufAllocator alloc() {
+    /** Where buffers for the answer come from. */
+    public ByteBufAllocator alloc() {
       return channel.alloc();
     }
 
     /** Gives a line as the answer. */
-    void line(String text) {
+    public void line(String text) {
       ByteBuf line = channel.alloc().buffer(text.length() + 2);
       ByteBufUtil.writeAscii(line, text);
       answer(line.writeShort(0x0D0A));
     }
 
     /** Gives the answer. */
-    void answer(ByteBuf bytes) {
+    public void answer(ByteBuf bytes) {
       if (!channel.isActive() || waiting != null || !slots.contains(this)) {
         bytes.release();
         return;
@@ -110,12 +128,27 @@
 
   /** Between requests the connection is idle. */
   private void rest() {
-    if (slots.isEmpty() && !decoder.midway() && !closing) {
-      since = System.nanoTime();
+    if (quiet()) {
+      restsSince = connections.idleClock();
       connections.idle(this);
     }
   }
 
+  /** Whether nothing is owed here and nothing has begun to come. */
+  private boolean quiet() {
+    return slots.isEmpty() && !decoder.midway() && !closing;
+  }
+
+  /**
+   * Takes in what lies in the socket; whether nothing is owed here after that. Guards against
+   * holding a pause of this node against a client that asked during it.
+   */
+  boolean looksQuiet() {
+    heard = false;
+    SocketLook.read(channel);
+    return !heard && quiet();
+  }
+
   /**
    * Ends the sending side after what is written, and lets the client read it: a close while it
    * still sends would reset the connection and destroy the line that tells why. What it sends is
@@ -127,7 +160,7 @@
     }
     closing = true;
     lingering = true;
-    since = System.nanoTime();
+    endsSince = System.nanoTime();
     connections.lingers(this);
     channel
         .writeAndFlush(Unpooled.EMPTY_BUFFER)
@@ -166,6 +199,7 @@
     MetaCommand command = (MetaCommand) message;
     midwaySince = 0;
     spoke = true;
+    heard = true;
     if (closing) {
       command.release();
       return;
@@ -173,9 +207,11 @@
     connections.busy(this);
     Slot slot = new Slot();
     slots.add(slot);
-    if (command.reply == null && slots.size() <= MAX_OPEN) {
+    if (command.reply == null
+        && slots.size() <= MAX_OPEN
+        && connections.mayTake(command.request.budget())) {
       strikes = 0;
-      slot.request = dispatcher.request(command, slot);
+      slot.request = requests.request(command, slot);
       return;
     }
     boolean wrong = command.reply != null && !command.reply.equals("MN");
@@ -207,9 +243,7 @@
       midwaySince = midwaySince == 0 ? System.nanoTime() : midwaySince;
       connections.busy(this);
     }
-    if (connections.draining()) {
-      drain();
-    }
+    drainIfAsked();
     steer();
   }
 
@@ -227,7 +261,7 @@
         slot.waiting.release();
       }
       if (slot.request != null) {
-        dispatcher.clientGone(slot.request);
+        slot.request.clientGone();
       }
     }
   }
@@ -235,13 +269,14 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (!(cause instanceof IOException)) {
-      dispatcher.report("client connection", cause);
+      requests.report("client connection", cause);
     }
     ctx.close();
   }
 
-  long since() {
-    return since;
+  /** Since when it is fresh or idle, on the clock that leaves out pauses. */
+  long restsSince() {
+    return restsSince;
   }
 
   /** Closes at once: nothing is owed here. */
@@ -249,32 +284,66 @@
     channel.close();
   }
 
-  /** Closes as soon as all answers are written. */
-  void closeWhenWritten() {
-    closing = true;
-    stopped = true;
-    since = System.nanoTime();
-    steer();
-    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+  /** Closes one that lingers, once more dropping what it sent. */
+  void dropLingering() {
+    // What is still unread would turn the close into a reset, which can cost the client the line
+    // that tells why.
+    SocketLook.read(channel);
+    channel.close();
+  }
+
+  /**
+   * Closes as soon as all answers are written, unless a last look finds that the client has asked
+   * again. Runs as a task of its own, since an answer is often given within the reading of the
+   * command behind it.
+   */
+  void leave() {
+    if (!leaving) {
+      leaving = true;
+      endsSince = System.nanoTime();
+      channel.eventLoop().execute(this::leaveWhenWritten);
+    }
+  }
+
+  private void leaveWhenWritten() {
+    channel
+        .writeAndFlush(Unpooled.EMPTY_BUFFER)
+        .addListener(written -> channel.eventLoop().execute(this::closeIfQuiet));
+  }
+
+  private void closeIfQuiet() {
+    boolean quiet = looksQuiet();
+    leaving = false;
+    if (quiet) {
+      closing = true;
+      channel.close();
+    } else {
+      drainIfAsked();
+    }
   }
 
   /**
-   * Takes nothing new: closes now, or when what it has asked for is answered. What the client sends
-   * from here on stays unread, so that it learns by the reset that it may ask elsewhere.
+   * Takes nothing new: ends now, or when what it has asked for is answered. What the client sends
+   * from here on stays unread until then, and what has come by then is still taken.
    */
   void drain() {
     if (lingering || closing) {
       return;
     }
-    if (slots.isEmpty() && !decoder.midway()) {
-      connections.busy(this);
-      closeWhenWritten();
+    if (quiet()) {
+      leave();
     } else {
       stopped = !decoder.midway();
       steer();
     }
   }
 
+  private void drainIfAsked() {
+    if (connections.draining()) {
+      drain();
+    }
+  }
+
   /**
    * Ends a connection that stands for nothing: silent, idle, stopped halfway through a command,
    * reading nothing, or turned away. Each would hold memory and a descriptor for good.
@@ -282,24 +351,37 @@
   void sweep(long now) {
     ClientConnections.Limits limits = connections.limits();
     if (stalledSince != 0 && now - stalledSince > limits.stallNanos()) {
-      channel.close();
-    } else if (lingering) {
-      if (now - since > limits.lingerNanos()) {
+      // It may have read on while this node did not run.
+      SocketLook.write(channel);
+      if (stalledSince != 0) {
         channel.close();
       }
-    } else if (closing) {
+    } else if (lingering) {
+      if (now - endsSince > limits.lingerNanos()) {
+        dropLingering();
+      }
+    } else if (leaving) {
       // What is owed still has a deadline; what is written and not taken has none.
-      if (slots.isEmpty() && now - since > limits.stallNanos()) {
-        channel.close();
+      if (now - endsSince > limits.stallNanos() && looksQuiet()) {
+        drop();
       }
     } else if (midwaySince != 0) {
       if (now - midwaySince > limits.commandNanos() || connections.draining()) {
-        turnAway("CLIENT_ERROR command not finished");
+        turnAwayIfMidway();
       }
-    } else if (slots.isEmpty()
-        && now - since > (spoke ? connections.restNanos() : limits.commandNanos())) {
-      connections.busy(this);
-      closeWhenWritten();
+    } else if (quiet()
+        && connections.idleClock() - restsSince
+            > (spoke ? connections.restNanos() : limits.commandNanos())) {
+      leave();
+    }
+  }
+
+  /** Turns away a client whose command is still not whole after a look at what has come. */
+  private void turnAwayIfMidway() {
+    long before = midwaySince;
+    SocketLook.read(channel);
+    if (midwaySince == before && decoder.midway() && channel.isActive()) {
+      turnAway("CLIENT_ERROR command not finished");
     }
   }
 }
--- a/src/main/java/beamspread/node/MemoryBudget.java
+++ b/src/main/java/beamspread/node/wire/MemoryBudget.java
@@ -1,14 +1,14 @@
-package beamspread.node;
+package beamspread.node.wire;
 
 /** Bytes of values that the node may hold at once, over all connections together. */
-final class MemoryBudget {
+public final class MemoryBudget {
   private long free;
 
-  MemoryBudget(long bytes) {
+  public MemoryBudget(long bytes) {
     this.free = bytes;
   }
 
-  boolean reserve(int bytes) {
+  public boolean reserve(int bytes) {
     if (bytes > free) {
       return false;
     }
@@ -16,7 +16,7 @@
     return true;
   }
 
-  void release(int bytes) {
+  public void release(int bytes) {
     free += bytes;
   }
 }
--- a/src/main/java/beamspread/node/MetaCommand.java
+++ b/src/main/java/beamspread/node/wire/MetaCommand.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package beamspread.node.wire;
 
 import beamspread.model.Request;
 import beamspread.model.Settings;
@@ -15,7 +15,7 @@
  * A command as a client sent it. A write keeps its value until the request has ended, for a second
  * attempt; the budget bounds what all of them keep.
  */
-final class MetaCommand {
+public final class MetaCommand {
   /** Longest key, as in memcached. */
   private static final int MAX_KEY = 250;
 
@@ -28,12 +28,12 @@
   private static final int MAX_DEADLINE = 3_600_000;
 
   /** What to answer at once, null for a request that goes to a cache server. */
-  final String reply;
+  public final String reply;
 
   /** Whether the client's bytes can no longer be told apart, so that its connection must close. */
-  final boolean lost;
+  public final boolean lost;
 
-  final Request request;
+  public final Request request;
   private final byte[] line;
   private final int deadlineStart;
   private final int deadlineEnd;
@@ -65,7 +65,7 @@
    * The bytes for a cache server: the client's own, but for the deadline, which tells how long this
    * node will wait.
    */
-  ByteBuf encode(ByteBufAllocator allocator, long millis) {
+  public ByteBuf encode(ByteBufAllocator allocator, long millis) {
     byte[] deadline = Long.toString(Math.max(1, millis)).getBytes(StandardCharsets.US_ASCII);
     ByteBuf head = allocator.buffer(line.length + deadline.length + 2);
     head.writeBytes(line, 0, deadlineStart).writeBytes(deadline);
@@ -76,7 +76,7 @@
   }
 
   /** Lets the value go: no further attempt can follow. Those being written keep their own hold. */
-  void release() {
+  public void release() {
     if (value != null) {
       budget.release(value.capacity());
       value.release();
@@ -90,7 +90,7 @@
    * there. So only the protocol's own form goes on, and classes that the settings name. It could do
    * harm where clients are given new flags: this reader must learn them first.
    */
-  static final class Decoder extends ByteToMessageDecoder {
+  public static final class Decoder extends ByteToMessageDecoder {
     private static final MetaCommand HELLO = new MetaCommand("MN", false);
     private static final MetaCommand UNKNOWN = new MetaCommand("ERROR", false);
 
@@ -104,24 +104,24 @@
     private boolean lost;
     private int discarded;
 
-    Decoder(MemoryBudget budget, List<Settings.ServiceClass> services) {
+    public Decoder(MemoryBudget budget, List<Settings.ServiceClass> services) {
       this.budget = budget;
       services.forEach(service -> classes.put(service.name(), service));
     }
 
     /** Whether a command has begun and not ended. */
-    boolean midway() {
+    public boolean midway() {
       return !lost && (write != null || actualReadableBytes() > 0);
     }
 
     /** Reads no more commands: what comes is dropped. */
-    void giveUp() {
+    public void giveUp() {
       lost = true;
       dropWrite();
     }
 
     /** Whether more may be dropped: a flood is better left in the socket. */
-    boolean mayDiscard() {
+    public boolean mayDiscard() {
       return discarded < MAX_DISCARDED;
     }
 
--- a/src/main/java/beamspread/node/MetaLine.java
+++ b/src/main/java/beamspread/node/wire/MetaLine.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package beamspread.node.wire;
 
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/beamspread/node/MetaReply.java
+++ b/src/main/java/beamspread/node/wire/MetaReply.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package beamspread.node.wire;
 
 import beamspread.model.LoadReport;
 import beamspread.model.Outcome;
@@ -19,7 +19,7 @@
  * @param note what it says of the server's cache
  * @param load the server's load report, null if none came along
  */
-record MetaReply(
+public record MetaReply(
     Outcome.Result result,
     String id,
     String receipt,
@@ -28,21 +28,21 @@
     LoadReport load) {
 
   /** Whether it can be the answer to this command: a value for a read, a receipt for a write. */
-  boolean answers(MetaCommand command) {
+  public boolean answers(MetaCommand command) {
     return result != Outcome.Result.OK
         ? id == null || id.equals(command.request.id())
         : id.equals(command.request.id())
             && (command.request.write() ? receipt != null : value != null);
   }
 
-  void release() {
+  public void release() {
     if (value != null) {
       value.release();
     }
   }
 
   /** Reads replies off a cache server's connection. */
-  static final class Decoder extends ByteToMessageDecoder {
+  public static final class Decoder extends ByteToMessageDecoder {
     /** The reply whose value is being read, and the value's length. */
     private MetaReply head;
 
@@ -50,7 +50,7 @@
     private boolean lost;
 
     /** Whether a reply has begun and not ended. */
-    boolean midway() {
+    public boolean midway() {
       return head != null || actualReadableBytes() > 0;
     }
 
--- /dev/null
+++ b/src/main/java/beamspread/node/wire/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * The meta commands of the memcache text protocol as clients, nodes and cache servers speak them:
+ * strict reading of commands and replies, and the memory that writes may hold meanwhile.
+ */
+package beamspread.node.wire;
--- a/src/test/java/beamspread/ArchitectureTest.java
+++ b/src/test/java/beamspread/ArchitectureTest.java
@@ -58,7 +58,8 @@
           "beamspread.agent.LeaseBook",
           "beamspread.fleet.Rollout",
           "beamspread.fleet.Selection",
-          "beamspread.fleet.Resume"
+          "beamspread.fleet.Resume",
+          "beamspread.loop.LoopWatch"
         }) {
       noClasses()
           .that()
@@ -83,6 +84,7 @@
             "beamspread.model..",
             "beamspread.policy..",
             "beamspread.sim..",
+            "beamspread.loop..",
             "beamspread.node..")
         .should()
         .dependOnClassesThat()
@@ -90,6 +92,18 @@
         .check(ALL);
   }
 
+  @Test
+  void theNodesPackagesDependInOneDirectionOnly() {
+    slices().matching("beamspread.node.(*)..").should().beFreeOfCycles().check(ALL);
+    noClasses()
+        .that()
+        .resideInAnyPackage("beamspread.node.client..", "beamspread.node.wire..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAPackage("beamspread.node")
+        .check(ALL);
+  }
+
   @Test
   void theRecordKnowsNoAgentAndTheOperatorsSideNoAgentsInside() {
     noClasses()
--- a/src/test/java/beamspread/node/DiscoveryPaceTest.java
+++ b/src/test/java/beamspread/node/DiscoveryPaceTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beamspread.model.Settings;
+import beamspread.node.client.ClientConnections;
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -41,6 +42,8 @@
                   64,
                   new MemberList(true, 1, List.of()),
                   blank,
+                  "rig",
+                  false,
                   null),
               ClientConnections.Limits.usual(16),
               Transport.TCP);
--- a/src/test/java/beamspread/node/MetaCommandTest.java
+++ b/src/test/java/beamspread/node/MetaCommandTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import beamspread.node.wire.MemoryBudget;
+import beamspread.node.wire.MetaCommand;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -2,6 +2,7 @@
 
 import beamspread.model.ServerEntry;
 import beamspread.model.Settings;
+import beamspread.node.client.ClientConnections;
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -69,6 +70,10 @@
   static class Server implements AutoCloseable {
     final List<String> lines = new CopyOnWriteArrayList<>();
     final List<Socket> connections = new CopyOnWriteArrayList<>();
+
+    /** Where each line came from. */
+    private final List<Socket> sources = new CopyOnWriteArrayList<>();
+
     volatile Function<String, String> script;
     private volatile ServerSocket listener;
 
@@ -90,6 +95,12 @@
           });
     }
 
+    /** Sends text on the connection on which this line came, which must be the only such line. */
+    void send(String line, String text) throws IOException {
+      int at = lines.indexOf(line);
+      sources.get(at).getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
     /** Refuses new connections and keeps those it has. */
     void refuse() throws IOException {
       SocketAddress address = listener.getLocalSocketAddress();
@@ -145,7 +156,10 @@
           if (line.startsWith("ms ")) {
             in.readNBytes(Integer.parseInt(line.split(" ")[2]) + 2);
           }
-          lines.add(line);
+          synchronized (this) {
+            sources.add(socket);
+            lines.add(line);
+          }
           String answer = script.apply(line);
           if (answer != null) {
             socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
@@ -305,6 +319,8 @@
                   64,
                   new MemberList(true, 1, members),
                   settings(new Settings.Limits(6, true, true, false, false, false, 1, 2, 60, 32)),
+                  "rig",
+                  false,
                   null),
               limits,
               Transport.TCP);
--- a/src/test/java/beamspread/node/RehearsalTest.java
+++ b/src/test/java/beamspread/node/RehearsalTest.java
@@ -9,6 +9,7 @@
 class RehearsalTest {
   @Test
   void goesThroughAllItsRequests() throws Exception {
-    assertEquals(Rehearsal.REQUESTS, Rehearsal.run(Rehearsal.sample(), new Log()));
+    assertEquals(
+        Rehearsal.REQUESTS, Rehearsal.run(Rehearsal.sample(), new Log("rehearsal", false)));
   }
 }
