Agents: callers give way, foreign names get nothing, an agent that is away stops a rollout

Need, each shown from outside: 400 connections with half a request head locked operators out; a call with Host: evil.example was served, so that a page on an operator's machine could steer the fleet by DNS rebinding; with an agent away a rollout of what it runs ended with exit code 2 and no JSON; and the operations jar wrote no log at all.

Change: CallerBook (pure) says who gives way: whoever has waited longest without a whole request, after a look at its socket; never who has shown the token or is being answered. 16 of the 128 places are for calls that renew or give back leases.

Result: tests for each; a caller that is turned away sees the end at once instead of after 2 s.

--- a/src/main/java/beamspread/agent/Agent.java
+++ b/src/main/java/beamspread/agent/Agent.java
@@ -100,6 +100,11 @@
     return AgentConfigReader.read(file).instances().size();
   }
 
+  /** Where an agent with this file writes its log. */
+  public static AgentLog log(Path file) throws TomlFaults {
+    return AgentConfigReader.read(file).log();
+  }
+
   private static FileChannel lock(Path file) throws IOException {
     FileChannel channel =
         FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
--- a/src/main/java/beamspread/agent/AgentConfig.java
+++ b/src/main/java/beamspread/agent/AgentConfig.java
@@ -11,9 +11,11 @@
  * @param folder where it keeps pid files, logs and, by default, its record
  * @param record where the record is
  * @param api how it can be reached
+ * @param log where its own log goes
  * @param instances what it looks after
  */
-record AgentConfig(String name, Path folder, Record record, Api api, List<Instance> instances) {
+record AgentConfig(
+    String name, Path folder, Record record, Api api, AgentLog log, List<Instance> instances) {
 
   /**
    * Where the record is: in a file, or where {@code url} is set in PostgreSQL.
@@ -25,11 +27,12 @@
   /**
    * How the agent can be reached.
    *
+   * @param names further names under which callers may address it
    * @param token the file of the token that callers need; null for none
    * @param certificate the file of the certificate chain; null for no TLS
    * @param key the file of its private key
    */
-  record Api(String host, int port, Path token, Path certificate, Path key) {}
+  record Api(String host, int port, List<String> names, Path token, Path certificate, Path key) {}
 
   /**
    * An instance.
--- a/src/main/java/beamspread/agent/AgentConfigReader.java
+++ b/src/main/java/beamspread/agent/AgentConfigReader.java
@@ -19,6 +19,8 @@
 final class AgentConfigReader {
   private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
 
+  private static final String HOST = "[A-Za-z0-9]([A-Za-z0-9.-]{0,251}[A-Za-z0-9])?";
+
   /** Longest path of a Unix domain socket, in bytes (unix(7)). */
   private static final int LONGEST_SOCKET = 107;
 
@@ -58,7 +60,7 @@
   }
 
   private AgentConfig read(TomlFile.Table root) {
-    root.only(Set.of("name", "folder", "record", "api", "defaults", "instance"));
+    root.only(Set.of("name", "folder", "record", "api", "log", "defaults", "instance"));
     String name = name(root, "name");
     Path folder = path(root, "folder", "agent");
     TomlFile.Table defaults = root.table("defaults");
@@ -77,7 +79,12 @@
       instances.add(instance(table, defaults, timing));
     }
     return new AgentConfig(
-        name, folder, record(root.table("record"), folder), api(root.table("api")), instances);
+        name,
+        folder,
+        record(root.table("record"), folder),
+        api(root.table("api")),
+        log(root.table("log")),
+        instances);
   }
 
   private static String name(TomlFile.Table table, String key) {
@@ -123,7 +130,7 @@
   }
 
   private AgentConfig.Api api(TomlFile.Table table) {
-    table.only(Set.of("listen", "token_file", "tls_certificate", "tls_key"));
+    table.only(Set.of("listen", "names", "token_file", "tls_certificate", "tls_key"));
     String listen = table.text("listen", "127.0.0.1:7400");
     int colon = listen.lastIndexOf(':');
     String host = colon < 0 ? "" : listen.substring(0, colon);
@@ -154,7 +161,26 @@
           "listen",
           "beyond loopback a token_file, a tls_certificate and a tls_key are needed: " + listen);
     }
-    return new AgentConfig.Api(host, port, token, certificate, key);
+    List<String> names = table.texts("names");
+    for (String name : names) {
+      if (!name.matches(HOST)) {
+        table.fault("names", "'" + name + "' is no host name");
+      }
+    }
+    return new AgentConfig.Api(host, port, names, token, certificate, key);
+  }
+
+  private AgentLog log(TomlFile.Table table) {
+    table.only(Set.of("format", "file", "file_mb", "files"));
+    String format = table.text("format", "text");
+    if (!format.equals("text") && !format.equals("json")) {
+      table.fault("format", "'" + format + "' is neither text nor json");
+    }
+    return new AgentLog(
+        format.equals("json"),
+        path(table, "file", null),
+        table.number("file_mb", 10, 1, 1000),
+        table.number("files", 5, 1, 100));
   }
 
   private static boolean loopback(byte[] ip) {
--- a/src/main/java/beamspread/agent/AgentCore.java
+++ b/src/main/java/beamspread/agent/AgentCore.java
@@ -23,6 +23,9 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 
 /**
  * All that an agent knows and decides, on one thread. What blocks is done elsewhere and told here:
@@ -30,6 +33,7 @@
  * loop. A call of the API is answered only when what it begins is on record.
  */
 final class AgentCore implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger("agent");
   private static final int WORKERS = 4;
   private static final int MOST_WAITERS = 256;
   private static final int MOST_INSTANCES_ASKED = 10_000;
@@ -272,7 +276,7 @@
         task.run();
       } catch (RuntimeException e) {
         // One instance's trouble must not end the supervision of the others.
-        System.err.println("agent: " + e + " at " + e.getStackTrace()[0]);
+        LOG.error("a task failed", e);
       }
     };
   }
@@ -300,6 +304,17 @@
             + what
             + (reason == null ? "" : ": " + reason);
     events.add(millis(), type, instance, text);
+    LoggingEventBuilder line = LOG.atInfo().addKeyValue("type", type);
+    line = line.addKeyValue("instance", instance);
+    if (step != null) {
+      line = line.addKeyValue("operation", step.operation());
+      line = line.addKeyValue("step", step.kind().word() + "/" + step.attempt());
+    }
+    LeaseBook.Lease lease = leases.holder(now(), instance);
+    if (lease != null) {
+      line = line.addKeyValue("token", lease.token());
+    }
+    line.log(text);
   }
 
   /** A step's end is on record. */
--- a/src/main/java/beamspread/agent/AgentServer.java
+++ b/src/main/java/beamspread/agent/AgentServer.java
@@ -2,6 +2,7 @@
 
 import beamspread.fleet.api.Api;
 import beamspread.fleet.api.Json;
+import beamspread.loop.SocketLook;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -12,6 +13,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -37,6 +39,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledFuture;
@@ -50,6 +53,10 @@
 final class AgentServer implements AutoCloseable {
   private static final int LONGEST_BODY = 1 << 20;
   private static final int MOST_CONNECTIONS = 128;
+
+  /** Of these, how many are for calls that renew or give back leases. */
+  private static final int KEPT_CONNECTIONS = 16;
+
   private static final long REQUEST_MILLIS = 10_000;
   private static final long IDLE_MILLIS = 60_000;
 
@@ -58,13 +65,15 @@
 
   private static final long HEARTBEAT_MILLIS = 5000;
   private static final String BEARER = "Bearer ";
+  private static final Set<String> ABOUT_LEASES = Set.of("/v1/leases/renew", "/v1/leases/release");
 
   private final AgentCore core;
   private final EventLoop loop;
   private final byte[] tokenDigest;
   private final SslContext tls;
+  private final CallerNames names;
+  private final CallerBook<Channel> callers = new CallerBook<>(MOST_CONNECTIONS, KEPT_CONNECTIONS);
   private Channel listener;
-  private int connections;
 
   AgentServer(AgentCore core, EventLoop loop, AgentConfig.Api config) throws IOException {
     this.core = core;
@@ -75,6 +84,7 @@
             ? null
             : SslContextBuilder.forServer(config.certificate().toFile(), config.key().toFile())
                 .build();
+    names = new CallerNames(config.host(), config.names(), tls != null);
   }
 
   /** Listens; returns the URL. */
@@ -107,12 +117,20 @@
   }
 
   private void accept(Channel channel) {
-    if (connections >= MOST_CONNECTIONS) {
+    for (Channel caller : callers.inTheWay()) {
+      // Its request may have come since the loop last looked.
+      SocketLook.read(caller);
+      if (callers.waits(caller)) {
+        callers.leaves(caller);
+        caller.close();
+        break;
+      }
+    }
+    if (!callers.enter(channel)) {
       channel.close();
       return;
     }
-    connections++;
-    channel.closeFuture().addListener(closed -> connections--);
+    channel.closeFuture().addListener(closed -> callers.leaves(channel));
     if (tls != null) {
       channel.pipeline().addLast(tls.newHandler(channel.alloc()));
     }
@@ -174,6 +192,15 @@
         request = head;
         body.clear();
         limit(ctx, REQUEST_MILLIS);
+        Refusal foreign =
+            names.refusal(
+                head.headers().getAll(HttpHeaderNames.HOST),
+                head.headers().getAll(HttpHeaderNames.ORIGIN),
+                ((InetSocketAddress) ctx.channel().localAddress()).getAddress());
+        if (foreign != null) {
+          turnAway(ctx, foreign);
+          return;
+        }
         if (!mayCall(head)) {
           turnAway(
               ctx,
@@ -183,6 +210,14 @@
                   "a token is needed, as the agent's token_file has it: 'Authorization: Bearer'"));
           return;
         }
+        if (tokenDigest != null) {
+          callers.trust(ctx.channel());
+        }
+        if (!callers.mayAskAll(ctx.channel()) && !ABOUT_LEASES.contains(head.uri())) {
+          turnAway(
+              ctx, new Refusal(503, "busy", "too many callers are connected: try again in 1 s"));
+          return;
+        }
         if (HttpUtil.getContentLength(head, 0L) > LONGEST_BODY) {
           tooLarge(ctx);
           return;
@@ -198,6 +233,7 @@
           tooLarge(ctx);
         } else if (message instanceof LastHttpContent) {
           limit(ctx, 0);
+          callers.asks(ctx.channel());
           answer(ctx);
         }
       }
@@ -242,6 +278,7 @@
                       refuse(ctx, failure, keep);
                     }
                     limit(ctx, IDLE_MILLIS);
+                    callers.answered(ctx.channel());
                   }));
     }
 
@@ -262,8 +299,14 @@
       response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
       HttpUtil.setContentLength(response, text.readableBytes());
       HttpUtil.setKeepAlive(response, keep);
+      if (status == 503) {
+        response.headers().set(HttpHeaderNames.RETRY_AFTER, "1");
+      }
       var written = ctx.writeAndFlush(response);
-      if (!keep && !dropping) {
+      if (dropping && tls == null && ctx.channel() instanceof DuplexChannel duplex) {
+        // It sees the end at once, and can still read why.
+        written.addListener(done -> duplex.shutdownOutput());
+      } else if (!keep && !dropping) {
         written.addListener(ChannelFutureListener.CLOSE);
       }
     }
--- a/src/main/java/beamspread/cli/ActionCommand.java
+++ b/src/main/java/beamspread/cli/ActionCommand.java
@@ -1,6 +1,5 @@
 package beamspread.cli;
 
-import beamspread.fleet.AgentCallException;
 import beamspread.fleet.Fleet;
 import beamspread.fleet.Report;
 import beamspread.fleet.Rollout;
@@ -8,6 +7,7 @@
 import beamspread.fleet.RolloutRunner;
 import beamspread.fleet.Selection;
 import beamspread.fleet.Target;
+import beamspread.fleet.Unreachable;
 import beamspread.fleet.api.Kind;
 import java.net.InetAddress;
 import java.net.UnknownHostException;
@@ -25,10 +25,16 @@
 abstract class ActionCommand extends FleetAction {
   private static final SecureRandom RANDOM = new SecureRandom();
 
+  /** Said where agents are away and nobody has allowed to go on without them. */
+  static final String LEFT_ALONE =
+      "nothing was begun, since nobody knows what these agents run: --allow-unreachable goes on"
+          + " without them, AGENT/NAME or --agent names instances of others";
+
   private final Kind kind;
 
   @Mixin private SelectOptions select;
   @Mixin private RunOptions run;
+  @Mixin private AwayOptions away;
 
   @Option(names = "--dry-run", description = "print the batches and begin nothing")
   private boolean dryRun;
@@ -97,30 +103,35 @@
     }
     Selection selection = select.selection();
     var answers = fleet.instances(selection);
-    for (AgentCallException failure : answers.failures().values()) {
-      err().println(failure.getMessage() + "; its instances are left out");
+    List<Unreachable> unreachable = answers.unreachable();
+    for (Unreachable one : unreachable) {
+      err().println(one.reason() + "; its instances are left out");
+    }
+    if (!unreachable.isEmpty() && !away.allow && !dryRun) {
+      err().println(LEFT_ALONE);
+      return tell(this, new Report(null, kind, by(by), 0, 0, List.of(), unreachable));
     }
-    List<Target> targets = selection.of(Fleet.flat(answers));
+    List<Target> targets = chosen(selection, answers);
     RolloutPlan plan = new RolloutPlan(kind, run.options(kind, targets.size(), this), targets);
     if (dryRun) {
       dryRun(plan);
-      return answers.failures().isEmpty() ? 0 : 3;
+      return unreachable.isEmpty() ? 0 : UNKNOWN;
     }
     Report report =
         new RolloutRunner(
                 fleet, RolloutRunner.Limits.usual(), ReportPrinter.progress(err(), targets.size()))
             .run(id(kind), by(by), plan, Map.of(), List.of());
-    return tell(this, report, answers.failures().isEmpty());
+    return tell(this, report.without(unreachable));
   }
 
-  /** Prints a report; the exit code, which also tells of agents that were left out. */
-  static int tell(FleetAction action, Report report, boolean allAgents) {
+  /** Prints a report; the exit code. */
+  static int tell(FleetAction action, Report report) {
     if (action.json()) {
       action.print(report);
-    } else {
+    } else if (report.operation() != null) {
       ReportPrinter.table(report, action.out());
     }
-    return allAgents ? report.exitCode() : 3;
+    return report.exitCode();
   }
 
   private void dryRun(RolloutPlan plan) {
--- a/src/main/java/beamspread/cli/AgentCommand.java
+++ b/src/main/java/beamspread/cli/AgentCommand.java
@@ -43,6 +43,7 @@
     }
     CountDownLatch told = new CountDownLatch(1);
     CountDownLatch over = new CountDownLatch(1);
+    LogSetup.agent(Agent.log(config));
     try (Agent agent = Agent.start(config)) {
       Runtime.getRuntime()
           .addShutdownHook(
--- a/src/main/java/beamspread/cli/ListCommand.java
+++ b/src/main/java/beamspread/cli/ListCommand.java
@@ -18,8 +18,8 @@
   int run(Fleet fleet) throws Exception {
     var answers = fleet.instances(select.selection());
     List<Api.InstanceView> views = Fleet.flat(answers);
-    if (!select.empty() && !views.isEmpty()) {
-      var chosen = select.selection().of(views);
+    if (!select.empty()) {
+      var chosen = chosen(select.selection(), answers);
       views =
           views.stream()
               .filter(
@@ -32,7 +32,7 @@
               .toList();
     }
     if (json()) {
-      print(new Api.Instances(views));
+      print(new Listing(views, answers.unreachable()));
     } else {
       table(views).print(out());
     }
--- a/src/main/java/beamspread/cli/LogCommand.java
+++ b/src/main/java/beamspread/cli/LogCommand.java
@@ -23,7 +23,7 @@
       throw usage("name instances, or say --all, --zone or --agent");
     }
     var answers = fleet.instances(select.selection());
-    for (Target target : select.selection().of(Fleet.flat(answers))) {
+    for (Target target : chosen(select.selection(), answers)) {
       for (String line :
           fleet.clients().get(target.agent()).log(target.instance(), Math.max(0, lines))) {
         out().println(target.path() + "  " + line.replaceAll("\\p{Cntrl}", " "));
--- a/src/main/java/beamspread/cli/QueryCommand.java
+++ b/src/main/java/beamspread/cli/QueryCommand.java
@@ -22,8 +22,7 @@
   @Override
   int run(Fleet fleet) throws Exception {
     var answers = fleet.instances(select.selection());
-    int code = tell(answers.failures());
-    List<Target> targets = select.selection().of(Fleet.flat(answers));
+    List<Target> targets = chosen(select.selection(), answers);
     Map<String, List<Target>> byAgent = new TreeMap<>();
     targets.forEach(
         one -> byAgent.computeIfAbsent(one.agent(), agent -> new ArrayList<>()).add(one));
@@ -38,11 +37,11 @@
               }
               return found;
             });
-    views.failures().keySet().removeAll(answers.failures().keySet());
-    code = Math.max(code, tell(views.failures()));
+    views.failures().putAll(answers.failures());
+    int code = tell(views.failures());
     List<Api.InstanceView> all = Fleet.flat(views);
     if (json()) {
-      print(new Api.Instances(all));
+      print(new Listing(all, views.unreachable()));
     } else {
       Table table =
           new Table(
@@ -100,7 +99,7 @@
     for (Api.InstanceView view : all) {
       if (view.pid() != null && view.heardMs() < asked) {
         err().println(view.agent() + "/" + view.name() + " runs, but did not say its status");
-        code = 3;
+        code = UNKNOWN;
       }
     }
     return code;
--- a/src/main/java/beamspread/cli/ResumeCommand.java
+++ b/src/main/java/beamspread/cli/ResumeCommand.java
@@ -4,9 +4,12 @@
 import beamspread.fleet.Report;
 import beamspread.fleet.Resume;
 import beamspread.fleet.RolloutRunner;
+import beamspread.fleet.Unreachable;
 import beamspread.fleet.api.Api;
+import java.util.List;
 import java.util.Map;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
@@ -22,21 +25,35 @@
   @Option(names = "--by", paramLabel = "NAME", description = "who asks (default: USER@HOST)")
   private String by;
 
+  @Mixin private AwayOptions away;
+
   @Override
   int run(Fleet fleet) throws Exception {
     var answers = fleet.operation(operation);
+    List<Unreachable> unreachable = answers.unreachable();
     tell(answers.failures());
     Map<String, Api.OperationView> views = answers.answers();
+    if (views.isEmpty() && !unreachable.isEmpty()) {
+      throw new AwayException(
+          "no agent that answers has an operation '" + operation + "' on record", unreachable);
+    }
     if (views.isEmpty()) {
       throw usage("no agent that answers has an operation '" + operation + "' on record");
     }
     Resume resume = Resume.of(views);
+    if (!unreachable.isEmpty() && !away.allow) {
+      err().println(ActionCommand.LEFT_ALONE);
+      return ActionCommand.tell(
+          this,
+          new Report(
+              null, resume.plan().kind(), ActionCommand.by(by), 0, 0, List.of(), unreachable));
+    }
     Report report =
         new RolloutRunner(
                 fleet,
                 RolloutRunner.Limits.usual(),
                 ReportPrinter.progress(err(), resume.plan().targets().size()))
             .run(operation, ActionCommand.by(by), resume.plan(), resume.attempts(), resume.done());
-    return ActionCommand.tell(this, report, true);
+    return ActionCommand.tell(this, report.without(unreachable));
   }
 }
--- a/src/main/java/beamspread/fleet/Fleet.java
+++ b/src/main/java/beamspread/fleet/Fleet.java
@@ -65,7 +65,14 @@
    * @param answers by agent
    * @param failures by agent
    */
-  public record Answers<T>(Map<String, T> answers, Map<String, AgentCallException> failures) {}
+  public record Answers<T>(Map<String, T> answers, Map<String, AgentCallException> failures) {
+    /** The agents that gave no answer. */
+    public List<Unreachable> unreachable() {
+      List<Unreachable> away = new ArrayList<>();
+      failures.forEach((agent, why) -> away.add(new Unreachable(agent, why.getMessage())));
+      return away;
+    }
+  }
 
   /** Asks all agents that a selection concerns. */
   public <T> Answers<T> ask(Selection selection, Question<T> question) {
--- a/src/main/java/beamspread/fleet/RolloutRunner.java
+++ b/src/main/java/beamspread/fleet/RolloutRunner.java
@@ -123,7 +123,8 @@
         by,
         started,
         (System.nanoTime() - begunAt) / 1_000_000,
-        List.copyOf(all));
+        List.copyOf(all),
+        List.of());
   }
 
   /** The plan as it was at first: who resumes it anew must not lose what was done already. */
--- a/src/main/java/beamspread/fleet/Selection.java
+++ b/src/main/java/beamspread/fleet/Selection.java
@@ -32,7 +32,16 @@
 
   /** Whether an agent can have anything that is meant. */
   public boolean concerns(String agent) {
-    return agents.isEmpty() || agents.contains(agent);
+    if (!agents.isEmpty() && !agents.contains(agent)) {
+      return false;
+    }
+    for (String name : names) {
+      int slash = name.indexOf('/');
+      if (slash < 0 || pattern(name.substring(0, slash)).matcher(agent).matches()) {
+        return true;
+      }
+    }
+    return names.isEmpty();
   }
 
   /** The instances that are meant, in the order of the agents and their names. */
--- a/src/test/java/beamspread/node/LeakCheck.java
+++ b/src/test/java/beamspread/LeakCheck.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package beamspread;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.extension.ExtensionContext;
 
 /** Fails a test class after which a buffer was collected that nobody had released. */
-final class LeakCheck implements BeforeAllCallback, AfterAllCallback {
+public final class LeakCheck implements BeforeAllCallback, AfterAllCallback {
   private static final List<String> LEAKS = new CopyOnWriteArrayList<>();
 
   static {
--- a/src/test/java/beamspread/agent/AgentServerTest.java
+++ b/src/test/java/beamspread/agent/AgentServerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import beamspread.LeakCheck;
 import beamspread.fleet.AgentCallException;
 import beamspread.fleet.Fleet;
 import beamspread.fleet.Inventory;
@@ -33,9 +34,11 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
 import org.junit.jupiter.api.io.TempDir;
 
 /** The agent's API: who gets in, and what bad input does. */
+@ExtendWith(LeakCheck.class)
 class AgentServerTest {
   @TempDir Path folder;
   private AgentRig rig;
@@ -65,7 +68,7 @@
     return raw(
         "POST "
             + path
-            + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Type: application/json\r\n"
+            + " HTTP/1.1\r\nHost: localhost\r\nConnection: close\r\nContent-Type: application/json\r\n"
             + "Content-Length: "
             + body.getBytes(StandardCharsets.UTF_8).length
             + "\r\n\r\n"
@@ -73,7 +76,7 @@
   }
 
   private String get(String path) throws IOException {
-    return raw("GET " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    return raw("GET " + path + " HTTP/1.1\r\nHost: localhost\r\nConnection: close\r\n\r\n");
   }
 
   @Test
@@ -106,7 +109,7 @@
         .contains("409", "stale_token", "has run out or was given back");
     assertThat(
             raw(
-                "POST /v1/leases HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                "POST /v1/leases HTTP/1.1\r\nHost: localhost\r\nConnection: close\r\n"
                     + "Content-Length: 2\r\n\r\n{}"))
         .contains("415", "Content-Type must be application/json");
     assertThat(raw("\u0000\u0001 nonsense\r\n\r\n")).contains("400");
@@ -126,7 +129,7 @@
         socket.setSoTimeout(20_000);
         OutputStream out = socket.getOutputStream();
         out.write(
-            ("POST /v1/leases HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\n"
+            ("POST /v1/leases HTTP/1.1\r\nHost: localhost\r\nContent-Type: application/json\r\n"
                     + length
                     + "\r\n\r\n")
                 .getBytes(StandardCharsets.US_ASCII));
@@ -181,7 +184,7 @@
     assertThat(get("/v1/instances")).contains("401", "unauthorized").doesNotContain("n1");
     assertThat(
             raw(
-                "GET /v1/instances HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                "GET /v1/instances HTTP/1.1\r\nHost: localhost\r\nConnection: close\r\n"
                     + "Authorization: Bearer a long and secret wort\r\n\r\n"))
         .contains("401");
     try (Fleet fleet = withToken(rig.agent.url(), "token", null)) {
@@ -361,4 +364,77 @@
       server.cut(false);
     }
   }
+
+  @Test
+  void callersThatAskForNothingWholeLockNobodyOut() throws Exception {
+    rig.instance("n1").startAndWait();
+    URI url = URI.create(rig.agent.url());
+    List<Socket> halves = new java.util.ArrayList<>();
+    try (Fleet fleet = rig.fleet()) {
+      for (int i = 0; i < 400; i++) {
+        Socket half = new Socket(url.getHost(), url.getPort());
+        halves.add(half);
+        half.getOutputStream().write("GET /v1/agent HTTP/1.1\r\nHost: loc".getBytes());
+        if (i % 50 == 0) {
+          // Long before any of them has used up its time.
+          assertThat(rig.client(fleet).instances()).hasSize(1);
+        }
+      }
+      assertThat(rig.client(fleet).instances()).hasSize(1);
+    } finally {
+      for (Socket half : halves) {
+        half.close();
+      }
+    }
+  }
+
+  @Test
+  void leasesAreRenewedWhileEveryOtherPlaceIsTaken() throws Exception {
+    rig.instance("n1").startAndWait();
+    URI url = URI.create(rig.agent.url());
+    List<Socket> streams = new java.util.ArrayList<>();
+    try {
+      for (int i = 0; i < 112; i++) {
+        Socket stream = new Socket(url.getHost(), url.getPort());
+        stream.setSoTimeout(20_000);
+        streams.add(stream);
+        // A call that is waited for: no more than 64 streams of events are allowed.
+        stream
+            .getOutputStream()
+            .write(
+                ("GET /v1/operations/none?wait_ms=20000&seen=0 HTTP/1.1\r\nHost: localhost\r\n"
+                        + "Expect: 100-continue\r\nContent-Length: 0\r\n\r\n")
+                    .getBytes());
+        stream.getInputStream().read();
+      }
+      assertThat(get("/v1/agent")).contains("200 OK");
+      String renewal = "{\"lease\":\"s1\",\"operation\":\"op\",\"state\":null}";
+      assertThat(post("/v1/leases/renew", renewal)).contains("lease");
+    } finally {
+      for (Socket stream : streams) {
+        stream.close();
+      }
+    }
+  }
+
+  @Test
+  void pagesOfOtherSitesGetNothing() throws Exception {
+    rig.instance("n1").startAndWait();
+    int port = URI.create(rig.agent.url()).getPort();
+    String call = "GET /v1/instances HTTP/1.1\r\nConnection: close\r\n";
+    assertThat(raw(call + "Host: evil.example\r\n\r\n"))
+        .contains("421", "foreign_host", "'evil.example'", "names under [api]")
+        .doesNotContain("n1");
+    assertThat(raw(call + "Host: evil.example:" + port + "\r\n\r\n")).contains("421");
+    assertThat(raw(call + "Host: 127.0.0.2\r\n\r\n")).contains("421");
+    assertThat(raw(call + "Host: [::1]:" + port + "\r\n\r\n")).contains("421");
+    assertThat(raw(call + "\r\n")).contains("400", "exactly one Host");
+    assertThat(raw(call + "Host: localhost\r\nHost: localhost\r\n\r\n")).contains("400");
+    String mine = call + "Host: 127.0.0.1:" + port + "\r\n";
+    assertThat(raw(mine + "Origin: http://evil.example\r\n\r\n")).contains("403", "foreign_origin");
+    assertThat(raw(mine + "Origin: null\r\n\r\n")).contains("403");
+    assertThat(raw(mine + "Origin: http://127.0.0.1:1\r\n\r\n")).contains("403");
+    assertThat(raw(mine + "Origin: http://127.0.0.1:" + port + "\r\n\r\n")).contains("200 OK");
+    assertThat(raw(mine + "\r\n")).contains("200 OK", "n1");
+  }
 }
--- a/src/test/java/beamspread/cli/FleetCommandTest.java
+++ b/src/test/java/beamspread/cli/FleetCommandTest.java
@@ -73,7 +73,8 @@
     JsonNode report = Json.readTree(out);
     List<String> fields = new ArrayList<>();
     report.fieldNames().forEachRemaining(fields::add);
-    assertThat(fields).containsExactly("operation", "kind", "by", "started", "took_ms", "results");
+    assertThat(fields)
+        .containsExactly("operation", "kind", "by", "started", "took_ms", "results", "unreachable");
     assertThat(report.path("by").asText()).isEqualTo("anna");
     assertThat(report.path("results")).hasSize(3);
     JsonNode first = report.path("results").get(0);
@@ -138,7 +139,27 @@
     assertThat(out.lines()).hasSize(4);
     assertThat(err).contains("agent away cannot be reached at http://127.0.0.1:1");
     assertThat(fleet("reload", "--all")).isEqualTo(3);
+    assertThat(out).isEmpty();
+    assertThat(err).contains("agent away cannot be reached", "nothing was begun", "--allow-unr");
+    assertThat(fleet("reload", "--all", "-o", "json")).isEqualTo(3);
+    assertThat(Json.readTree(out).path("results")).isEmpty();
+    assertThat(Json.readTree(out).path("unreachable").get(0).path("agent").asText())
+        .isEqualTo("away");
+    assertThat(fleet("history")).isEqualTo(3);
+    assertThat(out).as("nothing was begun anywhere").doesNotContain("reload-");
+    assertThat(fleet("reload", "--all", "--allow-unreachable")).isEqualTo(3);
     assertThat(out).contains("3 succeeded");
     assertThat(err).contains("agent away cannot be reached", "its instances are left out");
+    assertThat(fleet("reload", "agent-1/*")).as(err).isZero();
+    assertThat(fleet("reload", "--agent", "agent-1")).as(err).isZero();
+    assertThat(fleet("restart", "--agent", "away", "-o", "json")).isEqualTo(3);
+    assertThat(Json.readTree(out).path("unreachable")).hasSize(1);
+    for (String command : List.of("list", "query", "log")) {
+      assertThat(fleet(command, "n7")).as(command).isEqualTo(3);
+      assertThat(err).contains("no instance 'n7'", "agent away cannot be reached");
+    }
+    assertThat(fleet("list", "-o", "json")).isEqualTo(3);
+    assertThat(Json.readTree(out).path("unreachable")).hasSize(1);
+    assertThat(fleet("resume", "reload-1")).isEqualTo(3);
   }
 }
--- a/src/test/java/beamspread/node/ClosesTest.java
+++ b/src/test/java/beamspread/node/ClosesTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beamspread.LeakCheck;
 import beamspread.node.client.ClientConnections;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/beamspread/node/RehearsalTest.java
+++ b/src/test/java/beamspread/node/RehearsalTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import beamspread.LeakCheck;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
 
--- a/src/test/java/beamspread/node/SpoiltRepliesTest.java
+++ b/src/test/java/beamspread/node/SpoiltRepliesTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import beamspread.LeakCheck;
 import beamspread.node.client.ClientConnections;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
--- a/src/test/java/beamspread/node/TroubledServersTest.java
+++ b/src/test/java/beamspread/node/TroubledServersTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beamspread.LeakCheck;
 import beamspread.node.client.ClientConnections;
 import java.io.IOException;
 import java.util.ArrayList;
