--- /dev/null
+++ b/src/main/java/beamspread/cli/NodeProcess.java
@@ -0,0 +1,139 @@
+package beamspread.cli;
+
+import beamspread.standin.CacheServer;
+import beamspread.standin.Discovery;
+import beamspread.standin.NodeConfigFile;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A node that runs from a jar with the flags of the deployment, to be measured from outside. */
+final class NodeProcess implements AutoCloseable {
+  private static final long READY_NANOS = 30_000_000_000L;
+
+  /** Ticks of a second in /proc/PID/stat (sysconf(_SC_CLK_TCK)): 100 on all Linux of today. */
+  private static final long TICKS = 100;
+
+  private final Process process;
+  private final InetSocketAddress address;
+  private final long startMillis;
+
+  private NodeProcess(Process process, InetSocketAddress address, long startMillis) {
+    this.process = process;
+    this.address = address;
+    this.startMillis = startMillis;
+  }
+
+  /** Starts a node; returns once it answers. A class archive beside the jar is used. */
+  static NodeProcess start(
+      Scratch scratch, Path jar, Discovery discovery, List<CacheServer> servers)
+      throws IOException, InterruptedException {
+    int port;
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = free.getLocalPort();
+    }
+    Path config = scratch.folder().resolve("node.json");
+    // As a platform without the agent has it: no status is told.
+    Files.writeString(
+        config,
+        NodeConfigFile.text("n0", 0, 1, discovery.address(), servers, Path.of("none"))
+            .replace("\"status_socket\":\"none\",", "")
+            .replace("127.0.0.1:0", "127.0.0.1:" + port));
+    List<String> words = new ArrayList<>(Scratch.java("-Xms32m", "-Xmx32m", "-Xmn12m"));
+    words.addAll(
+        List.of(
+            "-XX:+AlwaysPreTouch",
+            "-XX:MaxDirectMemorySize=32m",
+            "-XX:ReservedCodeCacheSize=24m",
+            "-Dio.netty.jfr.enabled=false",
+            "-Dio.netty.machineId=02:00:00:ff:fe:00:00:01",
+            "-Dio.netty.processId=1"));
+    // As the deployment has it: an archive is of use only under the path that it was made with.
+    Path whole = jar.toAbsolutePath().normalize();
+    Path checkout = whole.getParent().getParent();
+    Path archive = whole.resolveSibling("beamspread.jsa");
+    if (Files.exists(archive)) {
+      words.add("-XX:SharedArchiveFile=" + checkout.relativize(archive));
+    }
+    words.addAll(List.of("-jar", checkout.relativize(whole).toString(), "serve"));
+    Path log = scratch.folder().resolve("node.log");
+    ProcessBuilder builder =
+        new ProcessBuilder(words)
+            .directory(checkout.toFile())
+            .redirectErrorStream(true)
+            .redirectOutput(log.toFile());
+    builder.environment().put("ROUTER_CONFIG", config.toString());
+    long began = System.nanoTime();
+    Process process = builder.start();
+    InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    while (!answers(address)) {
+      if (System.nanoTime() - began > READY_NANOS || !process.isAlive()) {
+        process.destroyForcibly().waitFor();
+        throw new IOException(jar + " does not answer: " + Files.readString(log));
+      }
+      TimeUnit.MILLISECONDS.sleep(2);
+    }
+    return new NodeProcess(process, address, (System.nanoTime() - began) / 1_000_000);
+  }
+
+  private static boolean answers(InetSocketAddress address) {
+    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+      socket.setSoTimeout(1000);
+      socket.getOutputStream().write("mn\r\n".getBytes(StandardCharsets.US_ASCII));
+      return new String(socket.getInputStream().readNBytes(2), StandardCharsets.US_ASCII)
+          .equals("MN");
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  InetSocketAddress address() {
+    return address;
+  }
+
+  /** From its start until it answered. */
+  long startMillis() {
+    return startMillis;
+  }
+
+  long residentKb() throws IOException {
+    for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+      if (line.startsWith("VmRSS:")) {
+        return Long.parseLong(line.replaceAll("\\D", ""));
+      }
+    }
+    return 0;
+  }
+
+  long descriptors() throws IOException {
+    try (var descriptors = Files.list(Path.of("/proc/" + process.pid() + "/fd"))) {
+      return descriptors.count();
+    }
+  }
+
+  /** The CPU time that it has used, in milliseconds, to the 10 ms that the system counts in. */
+  long cpuMillis() throws IOException {
+    String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+    // The second field is the program's name in parentheses, and may hold anything (proc(5)).
+    String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+    return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) * 1000 / TICKS;
+  }
+
+  /** Stops it as a throttled core or a pause of the machine does, or has it go on. */
+  void signal(String name) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly().onExit().join();
+  }
+}
--- a/src/main/java/beamspread/node/NodeConfig.java
+++ b/src/main/java/beamspread/node/NodeConfig.java
@@ -23,6 +23,7 @@
  * @param memoryMb memory that the process may hold
  * @param known the list of servers as this node last had it
  * @param settings the object that an instance in the simulator is told
+ * @param told the text that the settings were read from; null if they were not read
  * @param name the node's name, for its log
  * @param jsonLog whether its log is one JSON object a line
  * @param statusSocket the file of the Unix domain socket on which the node tells its status; null
@@ -36,6 +37,7 @@
     int memoryMb,
     MemberList known,
     Settings settings,
+    Message told,
     String name,
     boolean jsonLog,
     String statusSocket) {
@@ -77,6 +79,7 @@
         (int) limits.requiredNumber("memory_mb"),
         MemberList.parse(config.requiredNested("known")),
         settings,
+        told,
         config.text("name", "node"),
         jsonLog(config.text("log_format", "text")),
         config.text("status_socket", null));
@@ -101,7 +104,10 @@
    * Whether a node that was started with another configuration takes this one over in part only.
    */
   boolean needsRestart(NodeConfig started) {
-    return !settings.equals(started.settings)
+    // Not the settings themselves: a record's first comparison makes a hundred classes, and a
+    // reload
+    // under load on a part of a core would stand still for a fifth of a second.
+    return !Objects.equals(told, started.told)
         || !listen.equals(started.listen)
         || sockets != started.sockets
         || memoryMb != started.memoryMb
--- a/src/main/java/beamspread/node/Rehearsal.java
+++ b/src/main/java/beamspread/node/Rehearsal.java
@@ -109,6 +109,7 @@
             config.memoryMb(),
             new MemberList(true, 1, members),
             config.settings(),
+            null,
             "rehearsal",
             false,
             null);
--- a/src/main/java/beamspread/sim/Message.java
+++ b/src/main/java/beamspread/sim/Message.java
@@ -18,6 +18,17 @@
     this.fields = fields;
   }
 
+  /** Whether the other says the same, in whatever order. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Message message && fields.equals(message.fields);
+  }
+
+  @Override
+  public int hashCode() {
+    return fields.hashCode();
+  }
+
   /** Parses one JSON object, which must be all of the text. */
   public static Message parse(String line) throws WireException {
     try (JsonParser parser = FACTORY.createParser(line)) {
--- a/src/test/java/beamspread/node/ClosesTest.java
+++ b/src/test/java/beamspread/node/ClosesTest.java
@@ -23,37 +23,59 @@
     return new ClientConnections.Limits(connections, command, idle, idle, LONG, LONG);
   }
 
-  /** Holds a node's event loop; nothing of it runs until this is closed. */
+  /**
+   * Holds a node's event loop from the moment at which all that was due within the given time is
+   * about to run, and before the loop has looked at its sockets again: what is sent now lies there
+   * when it is decided.
+   */
   private static final class Hold implements AutoCloseable {
     private final CountDownLatch held = new CountDownLatch(1);
-    private final long since;
 
-    Hold(Node node) throws InterruptedException {
+    Hold(Node node, long nanos) throws InterruptedException {
+      CountDownLatch waits = new CountDownLatch(1);
+      stop(node, waits);
+      long until = System.nanoTime() + nanos;
+      while (System.nanoTime() - until < 0) {
+        Thread.sleep(10);
+      }
+      // Behind this one the loop puts all that has become due, once it has looked at its sockets.
       CountDownLatch begun = new CountDownLatch(1);
       node.loop()
           .execute(
               () -> {
                 begun.countDown();
-                try {
-                  held.await();
-                } catch (InterruptedException e) {
-                  Thread.currentThread().interrupt();
-                }
+                await(held);
               });
+      waits.countDown();
       begun.await();
-      since = System.nanoTime();
     }
 
-    /** Lasts until so much time has gone by that all that was due before it is over. */
-    void lasts(long nanos) throws InterruptedException {
-      while (System.nanoTime() - since < nanos) {
-        Thread.sleep(10);
+    private static void stop(Node node, CountDownLatch until) throws InterruptedException {
+      CountDownLatch begun = new CountDownLatch(1);
+      node.loop()
+          .execute(
+              () -> {
+                begun.countDown();
+                await(until);
+              });
+      begun.await();
+    }
+
+    private static void await(CountDownLatch latch) {
+      try {
+        latch.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
       }
     }
 
+    void release() {
+      held.countDown();
+    }
+
     @Override
     public void close() {
-      held.countDown();
+      release();
     }
   }
 
@@ -77,11 +99,11 @@
     try (Peers.Server server = new Peers.Server(Peers::good);
         Peers.Rig rig = new Peers.Rig(limits(40, LONG, SHORT), server)) {
       asked(clients, 20, rig);
-      try (Hold hold = new Hold(rig.node)) {
+      try (Hold hold = new Hold(rig.node, 4 * SHORT)) {
         for (int i = 0; i < 20; i++) {
           clients.get(i).read("b" + i);
         }
-        hold.lasts(4 * SHORT);
+        hold.release();
       }
       for (int i = 0; i < 20; i++) {
         assertEquals("VA 5 Ob" + i, clients.get(i).line());
@@ -98,12 +120,12 @@
     try (Peers.Server server = new Peers.Server(Peers::good);
         Peers.Rig rig = new Peers.Rig(limits(10, LONG, LONG), server)) {
       asked(kept, 10, rig);
-      try (Hold hold = new Hold(rig.node)) {
+      try (Hold hold = new Hold(rig.node, SHORT)) {
         for (int i = 0; i < 10; i++) {
           kept.get(i).read("b" + i);
           fresh.add(rig.client().read("c" + i));
         }
-        hold.lasts(SHORT);
+        hold.release();
       }
       for (int i = 0; i < 10; i++) {
         assertEquals("VA 5 Ob" + i, kept.get(i).line());
@@ -124,12 +146,12 @@
         fresh.add(rig.client());
       }
       Peers.await("all are accepted", () -> rig.node.clients() == 5);
-      try (Hold hold = new Hold(rig.node)) {
+      try (Hold hold = new Hold(rig.node, SHORT)) {
         for (int i = 0; i < 5; i++) {
           fresh.get(i).read("b" + i);
           fresh.add(rig.client().read("c" + i));
         }
-        hold.lasts(SHORT);
+        hold.release();
       }
       for (int i = 0; i < 5; i++) {
         assertEquals("VA 5 Ob" + i, fresh.get(i).line());
@@ -147,9 +169,9 @@
         Peers.Client client = rig.client()) {
       client.send("mg key-1 v O1 Pc=re");
       Peers.await("its first half is here", () -> rig.node.clients() == 1);
-      try (Hold hold = new Hold(rig.node)) {
+      try (Hold hold = new Hold(rig.node, 5 * SHORT)) {
         client.send("ad,d=5000\r\n");
-        hold.lasts(5 * SHORT);
+        hold.release();
       }
       assertEquals("VA 5 O1", client.line());
     }
@@ -162,13 +184,16 @@
         Peers.Rig rig = new Peers.Rig(limits(40, LONG, LONG), server)) {
       asked(clients, 5, rig);
       Thread drain = new Thread(rig.node::drain);
-      try (Hold hold = new Hold(rig.node)) {
-        drain.start();
+      drain.start();
+      // Its listener closes half a second after it has begun: here, while the loop is held.
+      Peers.await("the drain", () -> drain.getState() == Thread.State.TIMED_WAITING);
+      rig.node.loop().submit(() -> {}).sync();
+      try (Hold hold = new Hold(rig.node, 10 * SHORT)) {
         for (int i = 0; i < 5; i++) {
           clients.get(i).send("mg key v Ob" + i + " Pc=read,d=2000\r\n");
           clients.add(rig.client().send("mg key v Oc" + i + " Pc=read,d=2000\r\n"));
         }
-        hold.lasts(10 * SHORT);
+        hold.release();
       }
       for (int i = 0; i < 5; i++) {
         assertEquals("VA 5 Ob" + i, clients.get(i).line());
@@ -219,9 +244,9 @@
         Peers.Client client = rig.client()) {
       client.send("mg key-1 v O1 Pc=read,d=300\r\n");
       Peers.await("the request goes out", () -> server.lines.size() == 1);
-      try (Hold hold = new Hold(rig.node)) {
+      try (Hold hold = new Hold(rig.node, 5 * SHORT)) {
         server.send(server.lines.get(0), Peers.good(server.lines.get(0)));
-        hold.lasts(5 * SHORT);
+        hold.release();
       }
       assertEquals("VA 5 O1", client.line());
     }
@@ -237,9 +262,9 @@
       String reply = Peers.good(server.lines.get(0));
       server.send(server.lines.get(0), reply.substring(0, 12));
       Thread.sleep(50);
-      try (Hold hold = new Hold(rig.node)) {
+      try (Hold hold = new Hold(rig.node, 8 * SHORT)) {
         server.send(server.lines.get(0), reply.substring(12));
-        hold.lasts(8 * SHORT);
+        hold.release();
       }
       assertEquals("VA 5 O1", client.line());
       assertEquals(1, server.lines.size(), "no second attempt");
@@ -249,9 +274,7 @@
   @Test
   void thePausesAreOnTheStatus() throws Exception {
     try (Peers.Rig rig = new Peers.Rig(limits(9, LONG, LONG))) {
-      try (Hold hold = new Hold(rig.node)) {
-        hold.lasts(2 * SHORT);
-      }
+      new Hold(rig.node, 2 * SHORT).close();
       Peers.await("a pause", () -> rig.node.watch().pauses() > 0);
       assertTrue(rig.node.watch().longestNanos() >= 2 * SHORT);
     }
--- a/src/test/java/beamspread/node/DiscoveryPaceTest.java
+++ b/src/test/java/beamspread/node/DiscoveryPaceTest.java
@@ -42,6 +42,7 @@
                   64,
                   new MemberList(true, 1, List.of()),
                   blank,
+                  null,
                   "rig",
                   false,
                   null),
--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -319,6 +319,7 @@
                   64,
                   new MemberList(true, 1, members),
                   settings(new Settings.Limits(6, true, true, false, false, false, 1, 2, 60, 32)),
+                  null,
                   "rig",
                   false,
                   null),
