An agent that ends releases the buffers of half requests

The build's leak check found them after 400 callers with half a request: with no quiet time the event loop ended before the closed connections had told their handlers. 30 ms, as a node has.

--- a/src/main/java/beamspread/agent/Agent.java
+++ b/src/main/java/beamspread/agent/Agent.java
@@ -163,7 +163,8 @@
     server.close();
     core.close();
     keeper.close();
-    group.shutdownGracefully(0, 1000, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    // A short quiet time: what the closing of connections sets off still releases their buffers.
+    group.shutdownGracefully(30, 1000, TimeUnit.MILLISECONDS).syncUninterruptibly();
     try {
       lock.close();
     } catch (IOException e) {
