--- a/src/main/java/beamspread/agent/Agent.java
+++ b/src/main/java/beamspread/agent/Agent.java
@@ -100,6 +100,11 @@
     return AgentConfigReader.read(file).instances().size();
   }
 
+  /** Where an agent with this file writes its log. */
+  public static AgentLog log(Path file) throws TomlFaults {
+    return AgentConfigReader.read(file).log();
+  }
+
   private static FileChannel lock(Path file) throws IOException {
     FileChannel channel =
         FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
@@ -158,7 +163,8 @@
     server.close();
     core.close();
     keeper.close();
-    group.shutdownGracefully(0, 1000, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    // A short quiet time: what the closing of connections sets off still releases their buffers.
+    group.shutdownGracefully(30, 1000, TimeUnit.MILLISECONDS).syncUninterruptibly();
     try {
       lock.close();
     } catch (IOException e) {
