beamspread.pool: decisions about connections to cache servers as a state machine

Need: ServerPool mixed which connection an attempt gets, when one more is opened, what a refusal means and the sockets themselves; none of it could be tested but over sockets.

Change: beamspread.pool decides, free of I/O, clock and randomness (Pools, PoolActions); node.server carries out. Kept: last used first, a limit of the tier's own, two connections more while others leave, suspicion of silent servers. New: the limit of a server is an estimate that falls at once and rises by one at a time (LimitEstimate), and once it has shown, connections that wait for their end count in full; an answer that is overdue holds nothing behind it while one more may be opened; reads keep off a connection with a write that must not be lost; connections end at different times, before the server would close them, and none past its time is written to; connections that come up are bounded for each server and over all; where sockets run short the server with the most gives (max-min); spare ones can be kept ready, not at cold servers. pool_file in a node's configuration names the operators' bounds (deploy/pool.json), checked whole, taken over on reload.

--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -3,13 +3,18 @@
 import beamspread.model.LoadReport;
 import beamspread.model.MembershipUpdate;
 import beamspread.model.Outcome;
+import beamspread.model.ServerEntry;
 import beamspread.model.Settings;
 import beamspread.node.client.ClientHandler;
 import beamspread.node.client.Requests;
+import beamspread.node.server.Attempt;
+import beamspread.node.server.Outcomes;
+import beamspread.node.server.ServerPools;
 import beamspread.node.wire.MetaCommand;
 import beamspread.node.wire.MetaReply;
 import beamspread.policy.Actions;
 import beamspread.policy.Balancer;
+import beamspread.pool.PoolSettings;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -17,15 +22,18 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
  * Stands between the decision module and the sockets: tells it what happens, one event after the
  * other, and carries out what it decides. All of it runs on the event loop.
  */
-final class Dispatcher implements Actions, Requests {
+final class Dispatcher implements Actions, Requests, Outcomes {
   /**
    * The node stops waiting for an attempt this long before the client stops waiting for the node,
    * so that the module hears of the time-out before it must answer, and the answer is in time.
@@ -50,18 +58,40 @@
   private final Map<String, OpenRequest> open = new HashMap<>();
   private final ArrayDeque<Event> events = new ArrayDeque<>();
   private final long longestDeadlineNanos;
+
+  /** The classes whose requests may not be repeated at will. */
+  private final Set<String> guarded = new HashSet<>();
+
   private NodeConfig config;
   private boolean telling;
   private boolean rescuing;
   private long rescueUntil;
 
-  Dispatcher(NodeConfig config, EventLoop loop, Bootstrap bootstrap, ServerPools pools, Log log) {
+  Dispatcher(
+      NodeConfig config,
+      EventLoop loop,
+      Bootstrap bootstrap,
+      PoolSettings poolSettings,
+      long stuckNanos,
+      Log log) {
     this.loop = loop;
     this.config = config;
     this.longestDeadlineNanos = (long) (config.longestDeadline() * 1e9);
     this.settings = config.settings();
     this.log = log;
-    this.pools = pools;
+    this.pools =
+        new ServerPools(
+            loop,
+            bootstrap,
+            poolSettings,
+            stuckNanos,
+            new SplittableRandom(config.seed())::nextDouble,
+            this);
+    for (Settings.ServiceClass service : settings.services()) {
+      if (service.effect() != Settings.Effect.SAFE) {
+        guarded.add(service.name());
+      }
+    }
     this.balancer = new Balancer(settings, config.seed(), this);
     this.discovery =
         new DiscoveryClient(
@@ -75,7 +105,7 @@
 
   /** Tells the module the list as it was last known, and begins to follow it. */
   void start(MemberList known) {
-    pools.update(this, known, clock.now());
+    listed(known);
     tell(now -> balancer.membership(now, update(MembershipUpdate.Kind.REMEMBERED, known)));
     if (!settings.asksForList()) {
       discovery.follow();
@@ -91,6 +121,7 @@
       log.line("discovery moves to " + changed.discovery());
       discovery.move(changed.discovery());
     }
+    pools.use(changed.pool());
     if (changed.needsRestart(config)) {
       log.line("new settings, limits or listening address: taken over at the next start");
     }
@@ -146,6 +177,10 @@
     }
   }
 
+  ServerPools pools() {
+    return pools;
+  }
+
   int openRequests() {
     return open.size();
   }
@@ -197,16 +232,16 @@
 
   // What cache servers do.
 
-  /** An attempt ended without an answer, or with one that serves nobody. */
-  void ended(Attempt attempt, Outcome.Result result) {
-    ended(attempt, result, Outcome.Note.NONE, null);
+  @Override
+  public void ended(Attempt attempt, Outcome.Result result) {
+    ended((RequestAttempt) attempt, result, Outcome.Note.NONE, null);
   }
 
-  private void ended(Attempt attempt, Outcome.Result result, Outcome.Note note, LoadReport load) {
-    if (attempt.over) {
+  private void ended(
+      RequestAttempt attempt, Outcome.Result result, Outcome.Note note, LoadReport load) {
+    if (!attempt.settle()) {
       return;
     }
-    attempt.over = true;
     if (attempt.timeout != null) {
       attempt.timeout.cancel(false);
     }
@@ -234,9 +269,11 @@
   }
 
   /** A reply has come; it is dropped where the module has been told another end. */
-  void replied(Attempt attempt, MetaReply reply) {
+  @Override
+  public void replied(Attempt answered, MetaReply reply) {
+    RequestAttempt attempt = (RequestAttempt) answered;
     OpenRequest request = attempt.request;
-    if (reply.result() == Outcome.Result.OK && !request.ended && !attempt.over) {
+    if (reply.result() == Outcome.Result.OK && !request.ended && !attempt.over()) {
       request.ended = true;
       request.slot.answer(answer(request.slot.alloc(), reply));
     }
@@ -264,7 +301,7 @@
   // What discovery says.
 
   void list(MemberList list) {
-    pools.update(this, list, clock.now());
+    listed(list);
     MembershipUpdate.Kind kind =
         list.full() ? MembershipUpdate.Kind.FULL : MembershipUpdate.Kind.CHANGES;
     tell(now -> balancer.membership(now, update(kind, list)));
@@ -278,6 +315,27 @@
                 now, new MembershipUpdate(MembershipUpdate.Kind.FAILED, 0, List.of())));
   }
 
+  /** Takes in where the servers are now. */
+  private void listed(MemberList list) {
+    Set<Long> gone = list.full() ? new HashSet<>(pools.listed()) : new HashSet<>();
+    long now = System.nanoTime();
+    double seconds = clock.now();
+    for (MemberList.Member member : list.members()) {
+      ServerEntry entry = member.entry();
+      if (entry.state() == ServerEntry.State.GONE) {
+        gone.add(entry.id());
+        continue;
+      }
+      gone.remove(entry.id());
+      long started =
+          entry.startedAt() > 0
+              ? now - (long) (Math.max(0, seconds - entry.startedAt()) * 1e9)
+              : Long.MIN_VALUE;
+      pools.listed(entry, member.address(), started);
+    }
+    gone.forEach(pools::left);
+  }
+
   private static MembershipUpdate update(MembershipUpdate.Kind kind, MemberList list) {
     return new MembershipUpdate(
         kind, list.version(), list.members().stream().map(MemberList.Member::entry).toList());
@@ -295,7 +353,13 @@
     long now = System.nanoTime();
     long latest = request.deadlineNanos - ANSWER_MARGIN_NANOS;
     long deadline = timeout == 0 ? latest : Math.min(latest, now + (long) (timeout * 1e9));
-    Attempt attempt = new Attempt(request, request.attempts.size(), server, deadline);
+    RequestAttempt attempt =
+        new RequestAttempt(
+            request,
+            request.attempts.size(),
+            server,
+            deadline,
+            guarded.contains(request.command.request.serviceClass()));
     request.attempts.add(attempt);
     request.out++;
     if (request.ended || attempt.number >= settings.limits().maxAttempts() || latest - now <= 0) {
@@ -311,18 +375,16 @@
    * An attempt's time is over. Guards against giving up one whose answer has come while this node
    * did not run: the timer is due before the loop has looked at the socket.
    */
-  private void timeOut(Attempt attempt) {
-    if (attempt.connection != null) {
-      attempt.connection.look();
-    }
+  private void timeOut(RequestAttempt attempt) {
+    pools.look(attempt);
     withdraw(attempt, Outcome.Result.TIMEOUT);
   }
 
   /** Stops waiting for an attempt. */
-  private void withdraw(Attempt attempt, Outcome.Result result) {
-    if (!attempt.over) {
+  private void withdraw(RequestAttempt attempt, Outcome.Result result) {
+    if (!attempt.over()) {
       // Its time ran out while it waited for a connection: that none came up proves it never ran.
-      boolean unsent = attempt.connection == null && result == Outcome.Result.TIMEOUT;
+      boolean unsent = !attempt.sent() && result == Outcome.Result.TIMEOUT;
       pools.withdraw(attempt, result == Outcome.Result.TIMEOUT);
       ended(attempt, unsent ? Outcome.Result.CONNECT_FAILED : result);
     }
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -33,37 +33,18 @@
   /** Rounds of up to 16 connections that are accepted before the listener closes. */
   private static final int ACCEPT_ROUNDS = 16;
 
-  /**
-   * Descriptors kept for files and pipes of the virtual machine, the selector, discovery, and
-   * sockets that were closed and are not yet released.
-   */
-  private static final int OWN_DESCRIPTORS = 56;
-
-  /** The part of the other descriptors that connections to cache servers may take. */
-  private static final double SERVERS_PART = 0.4;
-
   /** How often connections are looked through for those that have outlived their time. */
   private static final long SWEEP_MILLIS = 100;
 
   /** How long a reply of a cache server may be half here. */
   private static final long STUCK_NANOS = 400_000_000L;
 
-  /** Connections to one server, over all nodes together, that this tier opens of itself. */
-  private static final int TIER_CONNECTIONS = 12;
-
-  /**
-   * Connections to one server beyond these while others wait for their end: enough to learn whether
-   * a silent server still runs, few enough that one which takes no more of them is not overrun.
-   */
-  private static final int LEAVING_CONNECTIONS = 2;
-
   private final NodeConfig config;
   private final MultiThreadIoEventLoopGroup group;
   private final EventLoop loop;
   private final Transport transport;
   private final PooledByteBufAllocator allocator;
   private final ClientConnections clients;
-  private final ServerPools pools;
   private final Dispatcher dispatcher;
   private final MemoryBudget values;
   private final Log log;
@@ -78,7 +59,8 @@
   Node(NodeConfig config) {
     this(
         config,
-        ClientConnections.Limits.usual(sockets(config) - serverSockets(config)),
+        ClientConnections.Limits.usual(
+            PoolPlan.sockets(config.sockets()) - PoolPlan.serverSockets(config.sockets())),
         Transport.TCP);
   }
 
@@ -102,29 +84,7 @@
             .option(
                 ChannelOption.CONNECT_TIMEOUT_MILLIS,
                 (int) Math.max(1, config.settings().limits().connectTimeout() * 1e3));
-    pools = new ServerPools(bootstrap, serverLimits());
-    dispatcher = new Dispatcher(config, loop, bootstrap, pools, log);
-  }
-
-  private static int sockets(NodeConfig config) {
-    return Math.max(32, config.sockets() - OWN_DESCRIPTORS);
-  }
-
-  private static int serverSockets(NodeConfig config) {
-    return (int) (SERVERS_PART * sockets(config));
-  }
-
-  private ServerPool.Limits serverLimits() {
-    var limits = config.settings().limits();
-    return new ServerPool.Limits(
-        Math.max(1, TIER_CONNECTIONS / config.settings().instances()),
-        LEAVING_CONNECTIONS,
-        // Where a request may not have two attempts out, one that is given up must be off its
-        // connection before the next goes out: nothing may share it.
-        limits.parallelAttempts() ? Math.max(1, limits.perConnection()) : 1,
-        serverSockets(config),
-        (long) (Math.max(1, limits.idleTimeout() / 2) * 1e9),
-        STUCK_NANOS);
+    dispatcher = new Dispatcher(config, loop, bootstrap, config.pool(), STUCK_NANOS, log);
   }
 
   private void paused(long nanos) {
@@ -152,8 +112,8 @@
         listener.localAddress().toString().replace("/", ""),
         dispatcher.openRequests(),
         clients.count(),
-        pools.sockets(),
-        pools.states(),
+        dispatcher.pools().sockets(),
+        dispatcher.pools().states(),
         draining,
         watch.longestNanos() / 1_000_000,
         watch.pauses());
@@ -234,7 +194,7 @@
     long now = System.nanoTime();
     try {
       clients.sweep(now);
-      pools.sweep(now);
+      dispatcher.pools().sweep(now);
     } catch (RuntimeException e) {
       // A task that throws is not run again, and then nothing would end what is stuck.
       log.failure("sweep", e);
--- a/src/main/java/beamspread/node/NodeConfig.java
+++ b/src/main/java/beamspread/node/NodeConfig.java
@@ -1,6 +1,7 @@
 package beamspread.node;
 
 import beamspread.model.Settings;
+import beamspread.pool.PoolSettings;
 import beamspread.sim.Dialect;
 import beamspread.sim.Message;
 import beamspread.sim.WireException;
@@ -24,6 +25,7 @@
  * @param known the list of servers as this node last had it
  * @param settings the object that an instance in the simulator is told
  * @param told the text that the settings were read from; null if they were not read
+ * @param pool what bounds the connections to cache servers
  * @param name the node's name, for its log
  * @param jsonLog whether its log is one JSON object a line
  * @param statusSocket the file of the Unix domain socket on which the node tells its status; null
@@ -38,6 +40,7 @@
     MemberList known,
     Settings settings,
     Message told,
+    PoolSettings pool,
     String name,
     boolean jsonLog,
     String statusSocket) {
@@ -71,20 +74,37 @@
     if (!faults.isEmpty()) {
       throw new WireException("settings: " + String.join("; ", faults));
     }
+    int sockets = (int) limits.requiredNumber("sockets");
     return new NodeConfig(
         MemberList.listenAddress(config.requiredText("listen")),
         MemberList.address(config.requiredText("discovery")),
         seed(config.requiredText("seed")),
-        (int) limits.requiredNumber("sockets"),
+        sockets,
         (int) limits.requiredNumber("memory_mb"),
         MemberList.parse(config.requiredNested("known")),
         settings,
         told,
+        pool(settings, sockets, config.text("pool_file", null)),
         config.text("name", "node"),
         jsonLog(config.text("log_format", "text")),
         config.text("status_socket", null));
   }
 
+  /** What the operators' file says of connections to cache servers, if there is one. */
+  private static PoolSettings pool(Settings settings, int sockets, String file)
+      throws WireException {
+    if (file == null) {
+      return PoolPlan.of(settings, sockets, null);
+    }
+    byte[] bytes = read(file);
+    try {
+      return PoolPlan.of(
+          settings, sockets, Message.parse(new String(bytes, StandardCharsets.UTF_8)));
+    } catch (WireException e) {
+      throw new WireException("pool_file " + file + ": " + e.getMessage());
+    }
+  }
+
   private static boolean jsonLog(String format) throws WireException {
     if (!format.equals("text") && !format.equals("json")) {
       throw new WireException("log_format '" + format + "' is neither text nor json");
--- a/src/main/java/beamspread/node/OpenRequest.java
+++ b/src/main/java/beamspread/node/OpenRequest.java
@@ -10,7 +10,7 @@
   final MetaCommand command;
   final ClientHandler.Slot slot;
   final long deadlineNanos;
-  final List<Attempt> attempts = new ArrayList<>(1);
+  final List<RequestAttempt> attempts = new ArrayList<>(1);
 
   /** Attempts whose outcome the module has not been told. */
   int out;
--- a/src/main/java/beamspread/node/Rehearsal.java
+++ b/src/main/java/beamspread/node/Rehearsal.java
@@ -110,6 +110,7 @@
             new MemberList(true, 1, members),
             config.settings(),
             null,
+            config.pool(),
             "rehearsal",
             false,
             null);
--- /dev/null
+++ b/src/main/java/beamspread/node/server/Outcomes.java
@@ -0,0 +1,16 @@
+package beamspread.node.server;
+
+import beamspread.model.Outcome;
+import beamspread.node.wire.MetaReply;
+
+/** Who is told what has come of attempts. */
+public interface Outcomes {
+  /** An attempt ended without an answer, or with one that serves nobody. */
+  void ended(Attempt attempt, Outcome.Result result);
+
+  /** A reply has come to an attempt, which may be over by now. */
+  void replied(Attempt attempt, MetaReply reply);
+
+  /** Tells of a fault of the program itself. */
+  void report(String where, Throwable cause);
+}
--- /dev/null
+++ b/src/main/java/beamspread/node/server/ServerPools.java
@@ -0,0 +1,169 @@
+package beamspread.node.server;
+
+import beamspread.model.Outcome;
+import beamspread.model.ServerEntry;
+import beamspread.pool.PoolActions;
+import beamspread.pool.PoolSettings;
+import beamspread.pool.Pools;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ConnectTimeoutException;
+import java.net.SocketAddress;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.DoubleSupplier;
+
+/**
+ * Carries out what {@link Pools} decides about the connections to all cache servers, each known by
+ * the number that the module uses. All of it runs on the event loop.
+ */
+public final class ServerPools implements PoolActions<Attempt> {
+  /** A server as the list has it. */
+  private record Listed(SocketAddress address, ServerEntry.State state) {}
+
+  private final Executor loop;
+  private final Bootstrap bootstrap;
+  private final Outcomes outcomes;
+  private final long stuckNanos;
+  private final Pools<Attempt> pools;
+  private final Map<Long, Listed> servers = new HashMap<>();
+  private final Map<Long, ServerLink> links = new HashMap<>();
+
+  /**
+   * @param stuckNanos how long a reply may be half here
+   * @param random numbers from 0 to 1
+   */
+  public ServerPools(
+      Executor loop,
+      Bootstrap bootstrap,
+      PoolSettings settings,
+      long stuckNanos,
+      DoubleSupplier random,
+      Outcomes outcomes) {
+    this.loop = loop;
+    this.bootstrap = bootstrap;
+    this.outcomes = outcomes;
+    this.stuckNanos = stuckNanos;
+    this.pools = new Pools<>(settings, random, this);
+  }
+
+  /**
+   * The list has a server here.
+   *
+   * @param startedAt when its process started, {@link Long#MIN_VALUE} for long ago
+   */
+  public void listed(ServerEntry entry, SocketAddress address, long startedAt) {
+    Listed before = servers.put(entry.id(), new Listed(address, entry.state()));
+    pools.listed(entry.id(), before != null && !before.address().equals(address), startedAt);
+  }
+
+  /** The servers that the list has. */
+  public Set<Long> listed() {
+    return Set.copyOf(servers.keySet());
+  }
+
+  /** A server has left. */
+  public void left(long server) {
+    if (servers.remove(server) != null) {
+      pools.left(server);
+    }
+  }
+
+  /** How many servers the list names in each state. */
+  public Map<ServerEntry.State, Integer> states() {
+    Map<ServerEntry.State, Integer> states = new EnumMap<>(ServerEntry.State.class);
+    servers.values().forEach(server -> states.merge(server.state(), 1, Integer::sum));
+    return states;
+  }
+
+  /** Sockets to cache servers: open, coming up, or being given up. */
+  public int sockets() {
+    return pools.sockets();
+  }
+
+  /** Goes on by other settings. */
+  public void use(PoolSettings settings) {
+    pools.use(settings);
+  }
+
+  /** Finds a connection for an attempt. */
+  public void send(Attempt attempt) {
+    pools.send(System.nanoTime(), attempt.server, attempt, attempt.guarded);
+  }
+
+  /** Takes in whether an attempt has been answered by now; only from a task of the loop. */
+  public void look(Attempt attempt) {
+    if (attempt.link != null) {
+      attempt.link.look();
+    }
+  }
+
+  /** Stops waiting for an attempt; {@code overdue} if the server has not answered it in time. */
+  public void withdraw(Attempt attempt, boolean overdue) {
+    if (attempt.link == null) {
+      pools.forget(attempt.server, attempt);
+    } else if (attempt.link.has(attempt)) {
+      pools.abandoned(attempt.link.id, attempt.sentAt, overdue);
+    }
+  }
+
+  /** Closes the connections to a server on which nothing is under way. */
+  public void closeIdle(long server) {
+    pools.closeIdle(server);
+  }
+
+  /** Closes what has outlived its time. */
+  public void sweep(long now) {
+    pools.tick(now);
+    List.copyOf(links.values()).forEach(link -> link.closeIfStuck(now, stuckNanos));
+  }
+
+  // What the pools decide.
+
+  @Override
+  public void open(long server, long id) {
+    ServerLink link = new ServerLink(id, pools, outcomes, () -> links.remove(id));
+    ChannelFuture future = link.open(bootstrap, servers.get(server).address());
+    if (future.isDone()) {
+      // The pools are told nothing from within a decision of theirs.
+      loop.execute(() -> opened(link, future));
+    } else {
+      future.addListener(done -> opened(link, future));
+    }
+  }
+
+  private void opened(ServerLink link, ChannelFuture future) {
+    if (future.isSuccess()) {
+      links.put(link.id, link);
+      pools.opened(System.nanoTime(), link.id);
+    } else {
+      boolean silent = future.cause() instanceof ConnectTimeoutException;
+      pools.notOpened(System.nanoTime(), link.id, silent);
+    }
+  }
+
+  @Override
+  public boolean write(long link, Attempt attempt) {
+    if (attempt.requestEnded()) {
+      // Its value may be gone, and nobody wants its answer.
+      outcomes.ended(attempt, Outcome.Result.MOOT);
+      return false;
+    }
+    links.get(link).write(attempt);
+    return true;
+  }
+
+  @Override
+  public void close(long link) {
+    links.get(link).close();
+  }
+
+  @Override
+  public void unreachable(Attempt attempt) {
+    outcomes.ended(attempt, Outcome.Result.CONNECT_FAILED);
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/pool/PoolSettings.java
@@ -0,0 +1,61 @@
+package beamspread.pool;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What bounds the connections of one node to its cache servers.
+ *
+ * @param connections how many this node opens to one server at most
+ * @param leaving how many more may be open while others are being given up
+ * @param depth how many attempts may be under way on one
+ * @param sockets how many may be open, or coming up, to all servers together
+ * @param openingEach how many may be coming up to one server
+ * @param openingAll how many may be coming up to all servers
+ * @param spare how many free ones are kept ready at a server that is in use, beyond need
+ * @param idleNanos how long one is kept that is not in use, at most; each ends up to a fifth
+ *     earlier
+ * @param ageNanos how long one is kept at all, at most, 0 for without end; up to a fifth earlier
+ * @param suspectNanos how long an answer may be overdue at the least before its connection is
+ *     suspect
+ * @param coldNanos how long after its start a server gets no connection ahead of need
+ */
+public record PoolSettings(
+    int connections,
+    int leaving,
+    int depth,
+    int sockets,
+    int openingEach,
+    int openingAll,
+    int spare,
+    long idleNanos,
+    long ageNanos,
+    long suspectNanos,
+    long coldNanos) {
+
+  /** All that makes no sense here, in words for operators; empty if nothing is wrong. */
+  public List<String> faults() {
+    List<String> faults = new ArrayList<>();
+    least(faults, "connections", connections, 1);
+    least(faults, "leaving", leaving, 0);
+    least(faults, "depth", depth, 1);
+    least(faults, "sockets", sockets, 1);
+    least(faults, "opening_each", openingEach, 1);
+    least(faults, "opening_all", openingAll, 1);
+    least(faults, "spare", spare, 0);
+    if (spare >= connections) {
+      faults.add("spare must be under connections, which is " + connections);
+    }
+    least(faults, "idle_s", idleNanos, 1);
+    least(faults, "age_s", ageNanos, 0);
+    least(faults, "suspect_s", suspectNanos, 1);
+    least(faults, "cold_s", coldNanos, 0);
+    return faults;
+  }
+
+  private static void least(List<String> faults, String name, long value, long least) {
+    if (value < least) {
+      faults.add(least == 0 ? name + " must not be negative" : name + " must be at least " + least);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/beamspread/pool/Pools.java
@@ -0,0 +1,322 @@
+package beamspread.pool;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+
+/**
+ * The connections of one node to all its cache servers. Not for more than one thread. Times are
+ * nanoseconds of one clock that never runs backwards.
+ *
+ * @param <A> an attempt; known by identity
+ */
+public final class Pools<A> {
+  /** The part of the sockets that connections ahead of need leave free for what has come. */
+  private static final double AHEAD_PART = 0.8;
+
+  private PoolSettings settings;
+  private final DoubleSupplier random;
+  private final PoolActions<A> actions;
+  private final Map<Long, ServerLinks<A>> servers = new HashMap<>();
+
+  /** Those whose server has left, until their last connection has ended. */
+  private final List<ServerLinks<A>> leaving = new ArrayList<>();
+
+  /** Each connection and its owner. */
+  private final Map<Long, Owned<A>> links = new HashMap<>();
+
+  private long lastLink;
+  private int opening;
+
+  /** Connections that were told to close and whose end is not told yet: their sockets are free. */
+  private int closing;
+
+  private record Owned<A>(ServerLinks<A> server, Link link) {}
+
+  /**
+   * @param random numbers from 0 to 1, by which connections end at different times
+   * @throws IllegalArgumentException if the settings make no sense
+   */
+  public Pools(PoolSettings settings, DoubleSupplier random, PoolActions<A> actions) {
+    if (!settings.faults().isEmpty()) {
+      throw new IllegalArgumentException(String.join("; ", settings.faults()));
+    }
+    this.settings = settings;
+    this.random = random;
+    this.actions = actions;
+  }
+
+  PoolActions<A> actions() {
+    return actions;
+  }
+
+  PoolSettings settings() {
+    return settings;
+  }
+
+  /**
+   * Goes on by other settings. What is open beyond them ends as it falls free.
+   *
+   * @throws IllegalArgumentException if they make no sense
+   */
+  public void use(PoolSettings changed) {
+    if (!changed.faults().isEmpty()) {
+      throw new IllegalArgumentException(String.join("; ", changed.faults()));
+    }
+    settings = changed;
+    servers.values().forEach(server -> server.ceiling(changed.connections()));
+  }
+
+  // What the list says.
+
+  /**
+   * The list has a server.
+   *
+   * @param moved whether it is at another address than before
+   * @param startedAt when its process started; {@link Long#MIN_VALUE} for long ago
+   */
+  public void listed(long server, boolean moved, long startedAt) {
+    servers.computeIfAbsent(server, this::comesBack).listed(moved, startedAt);
+  }
+
+  /** One that left and comes back goes on with what is left of it, so that its bounds hold. */
+  private ServerLinks<A> comesBack(long server) {
+    for (ServerLinks<A> gone : leaving) {
+      if (gone.server == server) {
+        leaving.remove(gone);
+        gone.comeBack();
+        return gone;
+      }
+    }
+    return new ServerLinks<>(server, this);
+  }
+
+  /** A server has left: what is under way may end, and nothing new begins. */
+  public void left(long server) {
+    ServerLinks<A> gone = servers.remove(server);
+    if (gone != null) {
+      leaving.add(gone);
+      gone.leave();
+      leaving.removeIf(ServerLinks::gone);
+    }
+  }
+
+  // Attempts.
+
+  /**
+   * Finds a connection for an attempt.
+   *
+   * @param guarded whether it must not be lost with others on its connection: it can't be repeated
+   */
+  public void send(long now, long server, A attempt, boolean guarded) {
+    ServerLinks<A> links = servers.get(server);
+    if (links == null) {
+      actions.unreachable(attempt);
+    } else {
+      links.send(now, attempt, guarded);
+    }
+  }
+
+  /** Takes back an attempt that has not been written. */
+  public void forget(long server, A attempt) {
+    ServerLinks<A> links = servers.get(server);
+    if (links != null) {
+      links.forget(attempt);
+    }
+  }
+
+  /** Nobody waits any more for an attempt that is under way on a connection. */
+  public void abandoned(long link, long writtenAt, boolean overdue) {
+    Owned<A> owned = links.get(link);
+    if (owned != null) {
+      owned.server().abandoned(owned.link(), writtenAt, overdue);
+    }
+  }
+
+  // Connections.
+
+  /** A connection is up. */
+  public void opened(long now, long link) {
+    Owned<A> owned = links.get(link);
+    opening--;
+    owned.server().opened(now, owned.link());
+    feedStarved(now);
+  }
+
+  /**
+   * A connection did not come up.
+   *
+   * @param silent whether nothing came back at all
+   */
+  public void notOpened(long now, long link, boolean silent) {
+    Owned<A> owned = links.remove(link);
+    opening--;
+    owned.server().notOpened(now, owned.link(), silent);
+    feedStarved(now);
+    leaving.removeIf(ServerLinks::gone);
+  }
+
+  /** Something has come on a connection. */
+  public void heard(long now, long link) {
+    Owned<A> owned = links.get(link);
+    if (owned != null) {
+      owned.server().heard(now, owned.link());
+    }
+  }
+
+  /**
+   * The attempt that was under way longest on a connection has its answer.
+   *
+   * @param awaited whether somebody waited for it
+   * @param guarded as it was sent
+   */
+  public void answered(long now, long link, long writtenAt, boolean awaited, boolean guarded) {
+    Owned<A> owned = links.get(link);
+    if (owned != null) {
+      owned.server().answered(now, owned.link(), writtenAt, awaited, guarded);
+    }
+  }
+
+  /**
+   * All that had come on a connection is read.
+   *
+   * @param midway whether it ended within a reply
+   */
+  public void readDone(long now, long link, boolean midway) {
+    Owned<A> owned = links.get(link);
+    if (owned != null) {
+      owned.server().readDone(now, owned.link(), midway);
+    }
+  }
+
+  /** Nothing more is to be written to a connection. */
+  public void retire(long link) {
+    Owned<A> owned = links.get(link);
+    if (owned != null) {
+      owned.server().retire(owned.link());
+    }
+  }
+
+  /**
+   * A connection is being closed, or has ended: nothing more goes there.
+   *
+   * @param spoilt whether for what came on it
+   */
+  public void ending(long link, boolean spoilt) {
+    Owned<A> owned = links.get(link);
+    if (owned != null) {
+      owned.link().retiring |= spoilt;
+      closing(owned.link());
+    }
+  }
+
+  /** A connection has ended, and the attempts on it with it. */
+  public void closed(long now, long link) {
+    Owned<A> owned = links.remove(link);
+    if (owned != null) {
+      closing -= owned.link().closing ? 1 : 0;
+      owned.server().closed(now, owned.link());
+      feedStarved(now);
+      leaving.removeIf(ServerLinks::gone);
+    }
+  }
+
+  /** Closes the connections to a server on which nothing is under way. */
+  public void closeIdle(long server) {
+    ServerLinks<A> links = servers.get(server);
+    if (links != null) {
+      links.closeIdle();
+    }
+  }
+
+  /** Time has passed: closes what has outlived it, opens ahead of need. */
+  public void tick(long now) {
+    for (ServerLinks<A> links : List.copyOf(servers.values())) {
+      links.tick(now);
+    }
+  }
+
+  /** Connections that are open, coming up, or being given up. */
+  public int sockets() {
+    return links.size() - closing;
+  }
+
+  // What the servers' pools share.
+
+  /** A connection was told to close. */
+  void closing(Link link) {
+    if (!link.closing) {
+      link.closing = true;
+      closing++;
+    }
+  }
+
+  /** What waited for room among all connections that come up may have it now. */
+  private void feedStarved(long now) {
+    if (opening < settings.openingAll()) {
+      for (ServerLinks<A> server : List.copyOf(servers.values())) {
+        if (server.starved()) {
+          server.placeAgain(now);
+        }
+      }
+    }
+  }
+
+  /** Whether a socket is to be had, now or by ending a free connection. */
+  boolean hasSocket() {
+    return sockets() < settings.sockets() || richest(null) != null;
+  }
+
+  /** Whether there are so many sockets left that one may be opened ahead of need. */
+  boolean roomAhead() {
+    return sockets() < AHEAD_PART * settings.sockets() && opening < settings.openingAll();
+  }
+
+  /**
+   * Takes one of the sockets that all servers share; null if none is to be had. Guards against
+   * running out of descriptors, after which neither a client nor a server could be reached. Where
+   * all are taken, the server with the most connections gives one that is free, so that those with
+   * few are served first (max-min fairness); among equals the one that has been free longest.
+   */
+  Link take(long now, ServerLinks<A> server, int generation) {
+    if (opening >= settings.openingAll()) {
+      return null;
+    }
+    if (sockets() >= settings.sockets()) {
+      ServerLinks<A> richest = richest(server);
+      if (richest == null) {
+        return null;
+      }
+      richest.retire(richest.idlest());
+    }
+    opening++;
+    Link link =
+        new Link(
+            ++lastLink,
+            generation,
+            now,
+            (long) (settings.idleNanos() * (1 - random.getAsDouble() / 5)),
+            (long) (settings.ageNanos() * (1 - random.getAsDouble() / 5)));
+    links.put(link.id, new Owned<>(server, link));
+    return link;
+  }
+
+  /** The server with the most connections of those that have a free one. */
+  private ServerLinks<A> richest(ServerLinks<A> but) {
+    ServerLinks<A> richest = null;
+    Link idlest = null;
+    for (ServerLinks<A> server : servers.values()) {
+      Link idle = server == but ? null : server.idlest();
+      if (idle != null
+          && (richest == null
+              || server.count() > richest.count()
+              || (server.count() == richest.count() && idle.usedAt - idlest.usedAt < 0))) {
+        richest = server;
+        idlest = idle;
+      }
+    }
+    return richest;
+  }
+}
--- a/src/main/java/beamspread/sim/Message.java
+++ b/src/main/java/beamspread/sim/Message.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** One JSON object of the wire, with typed access to its fields. */
 public final class Message {
@@ -140,7 +141,13 @@
     throw wrong(name);
   }
 
-  boolean has(String name) {
+  /** The names of its fields. */
+  public Set<String> names() {
+    return Set.copyOf(fields.keySet());
+  }
+
+  /** Whether a field is there and not null. */
+  public boolean has(String name) {
     return fields.get(name) != null;
   }
 
--- a/src/test/java/beamspread/node/DiscoveryPaceTest.java
+++ b/src/test/java/beamspread/node/DiscoveryPaceTest.java
@@ -43,6 +43,7 @@
                   new MemberList(true, 1, List.of()),
                   blank,
                   null,
+                  Peers.pool(blank, 256),
                   "rig",
                   false,
                   null),
--- /dev/null
+++ b/src/test/java/beamspread/pool/PoolsTest.java
@@ -0,0 +1,371 @@
+package beamspread.pool;
+
+import static beamspread.pool.World.MS;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class PoolsTest {
+  private static World world(int connections, int sockets, int spare, int servers) {
+    World world = new World(World.settings(connections, sockets, spare), new Random(1));
+    for (int i = 0; i < servers; i++) {
+      world.pools.listed(i, false, Long.MIN_VALUE);
+    }
+    return world;
+  }
+
+  private static void allComeUp(World world) {
+    while (!world.toOpen.isEmpty()) {
+      world.comesUp(world.toOpen.get(0));
+    }
+  }
+
+  @Test
+  void freeOnesAreUsedLastUsedFirstAndTheRestFallIdle() {
+    World world = world(6, 20, 0, 1);
+    for (int i = 0; i < 3; i++) {
+      world.send(0, false);
+    }
+    allComeUp(world);
+    assertThat(world.up()).hasSize(3);
+    List<World.Conn> all = world.up();
+    for (World.Conn conn : all) {
+      world.now += 10 * MS;
+      world.answers(conn);
+    }
+    for (int i = 0; i < 600; i++) {
+      world.now += 10 * MS;
+      World.Try one = world.send(0, false);
+      assertThat(one.on).as("the one used last").isSameAs(all.get(2));
+      world.answers(one.on);
+      world.pools.tick(world.now);
+      world.reap();
+    }
+    assertThat(world.up()).containsExactly(all.get(2));
+    assertThat(world.handshakes).isEqualTo(3);
+  }
+
+  @Test
+  void aLimitIsLearntAtOnceAndTriedAgainOneByOne() {
+    World world = world(6, 20, 0, 1);
+    world.limits.put(0L, 2);
+    List<World.Try> tries = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      tries.add(world.send(0, false));
+      allComeUp(world);
+    }
+    assertThat(world.up()).hasSize(2);
+    assertThat(world.refused).as("one shows the limit").isEqualTo(1);
+    assertThat(tries).allMatch(one -> one.on != null);
+    // Over ten seconds under load it is tried again ever more rarely.
+    for (int i = 0; i < 1000; i++) {
+      world.now += 10 * MS;
+      world.send(0, false);
+      allComeUp(world);
+      List.copyOf(world.up()).stream().filter(c -> c.out.size() > 1).forEach(world::answers);
+    }
+    assertThat(world.refused).isBetween(2, 9);
+    // The server takes more again: all of it is used in the end.
+    world.limits.put(0L, 30);
+    for (int i = 0; i < 6000 && world.up().size() < 6; i++) {
+      world.now += 10 * MS;
+      world.send(0, false);
+      allComeUp(world);
+      List.copyOf(world.up()).stream().filter(c -> c.out.size() > 1).forEach(world::answers);
+    }
+    assertThat(world.up()).hasSize(6);
+  }
+
+  @Test
+  void oneThatAcceptsSlowlyHoldsNothingElse() {
+    World world = world(6, 20, 0, 2);
+    World.Try first = world.send(0, false);
+    allComeUp(world);
+    World.Try second = world.send(0, false);
+    assertThat(second.on).as("waits for a connection that hangs").isNull();
+    World.Try other = world.send(1, false);
+    world.comesUp(world.toOpen.get(1));
+    assertThat(other.on).isNotNull();
+    world.now += 20 * MS;
+    world.answers(first.on);
+    assertThat(second.on).as("has the one that fell free").isNotNull();
+  }
+
+  @Test
+  void anAnswerThatIsOverdueHoldsNothingBehindIt() {
+    World world = world(2, 20, 0, 1);
+    World.Try slow = world.send(0, false);
+    allComeUp(world);
+    World.Try fast = world.send(0, false);
+    allComeUp(world);
+    world.now += 10 * MS;
+    world.answers(fast.on);
+    fast = world.send(0, false);
+    world.now += 500 * MS;
+    World.Conn suspect = slow.on;
+    // Both have waited for too long: one more is opened though the number is reached.
+    World.Try next = world.send(0, true);
+    assertThat(world.toOpen).hasSize(1);
+    allComeUp(world);
+    assertThat(next.on).isNotSameAs(suspect).isNotSameAs(fast.on);
+    World.Try one = world.send(0, false);
+    allComeUp(world);
+    World.Conn before = fast.on;
+    // No more than these: what comes now waits behind those that may still answer.
+    assertThat(world.send(0, false).on).isNotNull().isNotSameAs(suspect).isNotSameAs(before);
+    assertThat(one.on).isNotSameAs(suspect).isNotSameAs(before);
+    assertThat(world.toOpen).isEmpty();
+  }
+
+  @Test
+  void readsKeepOffAConnectionWithAWriteThatMustNotBeLost() {
+    World world = world(2, 20, 0, 1);
+    world.send(0, false);
+    World.Try write = world.send(0, true);
+    allComeUp(world);
+    assertThat(write.on).isNotNull();
+    World.Try third = world.send(0, false);
+    assertThat(third.on).isNotSameAs(write.on);
+  }
+
+  @Test
+  void whereSocketsRunShortWhoHasFewIsServedFirst() {
+    World world = world(6, 8, 0, 3);
+    List<World.Try> many = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      many.add(world.send(0, false));
+      allComeUp(world);
+    }
+    World.Try two = world.send(1, false);
+    world.send(1, false);
+    allComeUp(world);
+    many.forEach(one -> world.answers(one.on));
+    world.now += MS;
+    world.answers(two.on);
+    World.Try three = world.send(2, false);
+    allComeUp(world);
+    assertThat(three.on).isNotNull();
+    assertThat(world.up().stream().filter(one -> one.server == 0)).hasSize(5);
+    assertThat(world.up().stream().filter(one -> one.server == 1)).hasSize(2);
+    assertThat(world.pools.sockets()).isEqualTo(8);
+  }
+
+  @Test
+  void withoutAnySocketAnAttemptIsToldAtOnce() {
+    World world = world(2, 1, 0, 2);
+    World.Try held = world.send(0, false);
+    allComeUp(world);
+    assertThat(world.send(1, false).end).isEqualTo("unreachable");
+    world.answers(held.on);
+    World.Try next = world.send(1, false);
+    allComeUp(world);
+    assertThat(next.on).isNotNull();
+  }
+
+  @Test
+  void whatWaitsForRoomAmongAllThatComeUpIsNotForgotten() {
+    World world = world(4, 40, 0, 12);
+    List<World.Try> tries = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      tries.add(world.send(i, false));
+    }
+    assertThat(world.toOpen).as("no more than may come up").hasSize(8);
+    while (!world.toOpen.isEmpty()) {
+      world.fails(world.toOpen.get(0), true);
+    }
+    assertThat(tries).allMatch(one -> "unreachable".equals(one.end));
+  }
+
+  @Test
+  void anotherAddressOrAStartEndsWhatIsOlder() {
+    World world = world(2, 20, 0, 1);
+    World.Try first = world.send(0, false);
+    allComeUp(world);
+    world.pools.listed(0, true, Long.MIN_VALUE);
+    World.Try second = world.send(0, false);
+    assertThat(second.on).isNull();
+    allComeUp(world);
+    assertThat(second.on).isNotNull().isNotSameAs(first.on);
+    world.answers(first.on);
+    assertThat(first.on.closing).isTrue();
+    World.Conn before = second.on;
+    world.answers(before);
+    world.now += 1000 * MS;
+    world.pools.listed(0, false, world.now - 10 * MS);
+    assertThat(before.closing).as("older than the process").isTrue();
+    // One that comes up late, of an address that was left meanwhile, is not used.
+    World.Try third = world.send(0, false);
+    World.Conn late = world.toOpen.get(0);
+    world.pools.listed(0, true, Long.MIN_VALUE);
+    world.comesUp(late);
+    assertThat(late.closing).isTrue();
+    world.reap();
+    allComeUp(world);
+    assertThat(third.on).isNotNull();
+  }
+
+  @Test
+  void spareOnesAreKeptReadyButNotAtAColdServerNorPastTheLimit() {
+    World world = world(4, 20, 1, 2);
+    World.Try first = world.send(0, false);
+    assertThat(world.toOpen).hasSize(2);
+    allComeUp(world);
+    World.Try second = world.send(0, false);
+    assertThat(second.on).as("at once").isNotNull().isNotSameAs(first.on);
+    for (int i = 0; i < 6; i++) {
+      allComeUp(world);
+      world.send(0, false);
+    }
+    assertThat(world.up(0)).isEqualTo(4);
+    world.pools.listed(1, false, world.now - 100 * MS);
+    world.send(1, false);
+    assertThat(world.toOpen).as("cold: one for the attempt, none ahead").hasSize(1);
+  }
+
+  @Test
+  void settingsAreCheckedWholeAndTheLastGoodOnesStay() {
+    World world = world(4, 20, 0, 1);
+    PoolSettings bad = new PoolSettings(0, -1, 4, 0, 1, 1, 0, 1, 0, 1, 0);
+    assertThat(bad.faults())
+        .containsExactly(
+            "connections must be at least 1",
+            "leaving must not be negative",
+            "sockets must be at least 1",
+            "spare must be under connections, which is 0");
+    assertThatThrownBy(() -> world.pools.use(bad)).hasMessageContaining("sockets");
+    for (int i = 0; i < 4; i++) {
+      world.send(0, false);
+      allComeUp(world);
+    }
+    assertThat(world.up()).hasSize(4);
+    world.pools.use(World.settings(1, 20, 0));
+    List.copyOf(world.up()).forEach(world::answers);
+    world.pools.tick(world.now);
+    world.reap();
+    assertThat(world.up()).hasSize(3);
+  }
+
+  /** Long random orders of all that can happen; {@link World} checks each decision. */
+  @Property(tries = 300, seed = "20261201")
+  void noOrderOfEventsBreaksWhatMustHold(@ForAll long seed) {
+    Random random = new Random(seed);
+    World world =
+        new World(World.settings(1 + random.nextInt(6), 3 + random.nextInt(12), 0), random);
+    int servers = 1 + random.nextInt(4);
+    for (int i = 0; i < servers; i++) {
+      world.pools.listed(i, false, Long.MIN_VALUE);
+      world.limits.put((long) i, 1 + random.nextInt(6));
+    }
+    List<World.Try> all = new ArrayList<>();
+    for (int step = 0; step < 600; step++) {
+      world.now += random.nextInt(40) * MS;
+      List<World.Conn> busy = world.up().stream().filter(c -> !c.out.isEmpty()).toList();
+      long server = random.nextInt(servers);
+      switch (random.nextInt(14)) {
+        case 0, 1, 2, 3 -> all.add(world.send(server, random.nextInt(4) == 0));
+        case 4, 5 -> {
+          if (!world.toOpen.isEmpty()) {
+            world.comesUp(world.toOpen.get(random.nextInt(world.toOpen.size())));
+          }
+        }
+        case 6, 7, 8 -> {
+          if (!busy.isEmpty()) {
+            world.answers(busy.get(random.nextInt(busy.size())));
+          }
+        }
+        case 9 -> {
+          if (!world.open.isEmpty()) {
+            List<World.Try> open = List.copyOf(world.open);
+            world.timesOut(open.get(random.nextInt(open.size())));
+          }
+        }
+        case 10 -> {
+          if (!world.up().isEmpty()) {
+            world.breaks(world.up().get(random.nextInt(world.up().size())));
+          }
+        }
+        case 11 -> {
+          if (!world.toOpen.isEmpty()) {
+            world.fails(world.toOpen.get(0), random.nextBoolean());
+          }
+        }
+        case 12 -> {
+          world.pools.tick(world.now);
+          world.reap();
+        }
+        default -> {
+          switch (random.nextInt(4)) {
+            case 0 -> world.pools.listed(server, true, Long.MIN_VALUE);
+            case 1 -> world.pools.listed(server, false, world.now - 5 * MS);
+            case 2 -> world.limits.put(server, 1 + random.nextInt(6));
+            default -> {
+              world.pools.left(server);
+              world.pools.listed(server, false, Long.MIN_VALUE);
+            }
+          }
+        }
+      }
+      assertThat(world.pools.sockets())
+          .isEqualTo((int) world.conns.values().stream().filter(c -> !c.closing).count());
+    }
+    // Once all that is out is told, every attempt has its end and every socket is given back.
+    for (int i = 0; i < 100 && !(world.open.isEmpty() && world.toOpen.isEmpty()); i++) {
+      world.now += 10 * MS;
+      List.copyOf(world.open)
+          .forEach(
+              one -> {
+                if (one.end == null) {
+                  world.timesOut(one);
+                }
+              });
+      while (!world.toOpen.isEmpty()) {
+        world.fails(world.toOpen.get(0), false);
+      }
+      world.reap();
+    }
+    List.copyOf(world.conns.values()).forEach(world::breaks);
+    while (!world.toOpen.isEmpty()) {
+      world.fails(world.toOpen.get(0), false);
+    }
+    assertThat(all).allMatch(one -> one.end != null, "has an end");
+    assertThat(world.pools.sockets()).isZero();
+  }
+
+  /** From idle to full load: no server is asked for more than once beyond a limit it has shown. */
+  @Property(tries = 100, seed = "20261202")
+  void aSurgeStaysWithinTheLimits(@ForAll long seed) {
+    Random random = new Random(seed);
+    World world = new World(World.settings(6, 40, 0), random);
+    for (int i = 0; i < 6; i++) {
+      world.pools.listed(i, false, Long.MIN_VALUE);
+      world.limits.put((long) i, 2 + random.nextInt(4));
+    }
+    for (int i = 0; i < 400; i++) {
+      world.now += MS / 4;
+      world.send(random.nextInt(6), random.nextInt(10) == 0);
+      if (random.nextInt(3) == 0 && !world.toOpen.isEmpty()) {
+        world.comesUp(world.toOpen.get(0));
+      }
+      for (World.Conn conn : List.copyOf(world.up())) {
+        if (!conn.out.isEmpty() && random.nextInt(8) == 0) {
+          world.answers(conn);
+        }
+      }
+    }
+    while (!world.toOpen.isEmpty()) {
+      world.comesUp(world.toOpen.get(0));
+    }
+    for (long server = 0; server < 6; server++) {
+      assertThat(world.up(server)).isLessThanOrEqualTo(world.limits.get(server));
+    }
+    // Those that were under way together when the limit showed, and a try again in 0.1 s.
+    assertThat(world.refused).isLessThanOrEqualTo(6 * (world.settings.openingEach() + 1));
+    assertThat(world.mostSockets).isLessThanOrEqualTo(40);
+  }
+}
