Stand-ins with limits, handshakes and idle closes; a surge measured and tested over sockets

Need: what the pool decides must hold over sockets, against servers that do not say how many connections they take.

--- a/src/main/java/beamspread/cli/MeasureCommand.java
+++ b/src/main/java/beamspread/cli/MeasureCommand.java
@@ -9,7 +9,7 @@
     description = "Repeats the measurements of docs/measurements.",
     mixinStandardHelpOptions = true,
     synopsisSubcommandLabel = "COMMAND",
-    subcommands = {MeasureReload.class, MeasureStart.class, MeasureCloses.class})
+    subcommands = {MeasureReload.class, MeasureStart.class, MeasureCloses.class, MeasurePool.class})
 final class MeasureCommand implements Runnable {
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
--- a/src/main/java/beamspread/cli/NodeProcess.java
+++ b/src/main/java/beamspread/cli/NodeProcess.java
@@ -36,6 +36,13 @@
   static NodeProcess start(
       Scratch scratch, Path jar, Discovery discovery, List<CacheServer> servers)
       throws IOException, InterruptedException {
+    return start(scratch, jar, discovery, servers, null);
+  }
+
+  /** The same, with a file of the operators' on connections to cache servers; null for none. */
+  static NodeProcess start(
+      Scratch scratch, Path jar, Discovery discovery, List<CacheServer> servers, Path poolFile)
+      throws IOException, InterruptedException {
     int port;
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       port = free.getLocalPort();
@@ -45,7 +52,11 @@
     Files.writeString(
         config,
         NodeConfigFile.text("n0", 0, 1, discovery.address(), servers, Path.of("none"))
-            .replace("\"status_socket\":\"none\",", "")
+            .replace(
+                "\"status_socket\":\"none\",",
+                poolFile == null
+                    ? ""
+                    : "\"pool_file\":\"" + poolFile.toAbsolutePath().normalize() + "\",")
             .replace("127.0.0.1:0", "127.0.0.1:" + port));
     List<String> words = new ArrayList<>(Scratch.java("-Xms32m", "-Xmx32m", "-Xmn12m"));
     words.addAll(
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -267,6 +267,14 @@
     return loop;
   }
 
+  int serverSockets() {
+    return dispatcher.pools().sockets();
+  }
+
+  int openRequests() {
+    return dispatcher.openRequests();
+  }
+
   int clients() {
     return clients.count();
   }
--- a/src/main/java/beamspread/standin/CacheServer.java
+++ b/src/main/java/beamspread/standin/CacheServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.io.IOException;
@@ -15,8 +16,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -28,10 +31,30 @@
   private static final int LONGEST_LINE = 2048;
   private static final int MOST_KEYS = 100_000;
 
+  /**
+   * How a server behaves.
+   *
+   * @param answerMicros the time from a command to its answer
+   * @param mostConnections connections that it takes at a time
+   * @param refuses whether it closes one more at once, else says on it that it is busy
+   * @param handshakeMicros the time that it works on a new connection before the first command on
+   *     it begins, one connection after the other
+   * @param idleMillis how long it keeps a connection that is not used, 0 for good
+   */
+  public record Conduct(
+      long answerMicros,
+      int mostConnections,
+      boolean refuses,
+      long handshakeMicros,
+      long idleMillis) {}
+
   private final EventLoop loop;
-  private final long answerMicros;
-  private final int mostConnections;
+  private final AtomicLong handshakes = new AtomicLong();
+  private final AtomicLong beyondLimit = new AtomicLong();
+  private final AtomicLong stale = new AtomicLong();
   private final Channel listener;
+  private volatile Conduct conduct;
+  private long handshakesUntil;
   private final AtomicLong served = new AtomicLong();
   private final AtomicLong turnedAway = new AtomicLong();
   private final Map<String, Boolean> kept =
@@ -43,7 +66,7 @@
           return size() > MOST_KEYS;
         }
       };
-  private int connections;
+  private final Set<Channel> open = new LinkedHashSet<>();
 
   /**
    * A server on a free port of the loopback address.
@@ -53,12 +76,41 @@
    */
   public CacheServer(EventLoop loop, long answerMicros, int mostConnections)
       throws IOException, InterruptedException {
+    this(loop, new Conduct(answerMicros, mostConnections, false, 0, 0));
+  }
+
+  /** A server on a free port of the loopback address that behaves so. */
+  public CacheServer(EventLoop loop, Conduct conduct) throws IOException, InterruptedException {
     this.loop = loop;
-    this.answerMicros = answerMicros;
-    this.mostConnections = mostConnections;
+    this.conduct = conduct;
     this.listener = listen(loop, this::accept);
   }
 
+  /** Behaves in another way from now on; connections that are open stay. */
+  public void behave(Conduct other) {
+    conduct = other;
+  }
+
+  /** Breaks all connections, with a reset to what is under way. */
+  public void breakConnections() {
+    loop.execute(() -> List.copyOf(open).forEach(Channel::close));
+  }
+
+  /** Connections that it has taken. */
+  public long handshakes() {
+    return handshakes.get();
+  }
+
+  /** Connections beyond what it takes. */
+  public long beyondLimit() {
+    return beyondLimit.get();
+  }
+
+  /** Commands that came on a connection which it had closed as idle. */
+  public long stale() {
+    return stale.get();
+  }
+
   /** Has something listen on a free port of the loopback address. */
   static Channel listen(EventLoop loop, java.util.function.Consumer<Channel> accept)
       throws IOException, InterruptedException {
@@ -97,9 +149,17 @@
   }
 
   private void accept(Channel channel) {
-    connections++;
-    channel.closeFuture().addListener(closed -> connections--);
-    channel.pipeline().addLast(new Connection(connections > mostConnections));
+    boolean full = open.size() >= conduct.mostConnections();
+    (full ? beyondLimit : handshakes).incrementAndGet();
+    if (full && conduct.refuses()) {
+      channel.close();
+      return;
+    }
+    open.add(channel);
+    channel.closeFuture().addListener(closed -> open.remove(channel));
+    handshakesUntil =
+        Math.max(handshakesUntil, System.nanoTime()) + conduct.handshakeMicros() * 1000;
+    channel.pipeline().addLast(new Connection(full, handshakesUntil));
   }
 
   @Override
@@ -109,10 +169,36 @@
 
   private final class Connection extends ByteToMessageDecoder {
     private final boolean full;
+    private final long readyAt;
     private final ArrayDeque<String> answers = new ArrayDeque<>();
+    private long usedAt = System.nanoTime();
+    private boolean ended;
 
-    Connection(boolean full) {
+    Connection(boolean full, long readyAt) {
       this.full = full;
+      this.readyAt = readyAt;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+      if (conduct.idleMillis() > 0) {
+        loop.schedule(() -> endIfIdle(ctx), conduct.idleMillis(), TimeUnit.MILLISECONDS);
+      }
+    }
+
+    /** Ends the sending and keeps an eye on what still comes, as who has closed too late would. */
+    private void endIfIdle(ChannelHandlerContext ctx) {
+      long left = usedAt + conduct.idleMillis() * 1_000_000 - System.nanoTime();
+      if (ended || !ctx.channel().isActive()) {
+        return;
+      }
+      if (left > 0 || !answers.isEmpty()) {
+        loop.schedule(() -> endIfIdle(ctx), Math.max(left, 1_000_000), TimeUnit.NANOSECONDS);
+      } else {
+        ended = true;
+        ((DuplexChannel) ctx.channel()).shutdownOutput();
+        loop.schedule(() -> ctx.close(), 200, TimeUnit.MILLISECONDS);
+      }
     }
 
     @Override
@@ -138,6 +224,12 @@
     }
 
     private void answer(ChannelHandlerContext ctx, String[] words) {
+      if (ended) {
+        stale.incrementAndGet();
+        ctx.close();
+        return;
+      }
+      usedAt = System.nanoTime();
       String id = "";
       for (int i = 2; i < words.length; i++) {
         id = words[i].startsWith("O") ? words[i] : id;
@@ -157,12 +249,14 @@
       } else {
         answers.add("CLIENT_ERROR bad command\r\n");
       }
+      long wait = Math.max(0, readyAt - usedAt) + conduct.answerMicros() * 1000;
       loop.schedule(
           () -> {
+            usedAt = System.nanoTime();
             ctx.writeAndFlush(ByteBufUtil.writeAscii(ctx.alloc(), answers.poll()));
           },
-          answerMicros,
-          TimeUnit.MICROSECONDS);
+          wait,
+          TimeUnit.NANOSECONDS);
     }
 
     @Override
--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -19,6 +19,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
@@ -288,6 +289,9 @@
 
   /** A node whose list names these servers and whose discovery says nothing else. */
   static final class Rig implements AutoCloseable {
+    private static final Settings SETTINGS =
+        settings(new Settings.Limits(6, true, true, false, false, false, 1, 2, 60, 32));
+
     final Node node;
     final InetSocketAddress address;
     private final Server discovery;
@@ -304,24 +308,35 @@
 
     Rig(Server discovery, ClientConnections.Limits limits, int sockets, Server... servers)
         throws IOException, InterruptedException {
+      this(
+          discovery,
+          limits,
+          sockets,
+          pool(SETTINGS, sockets),
+          Arrays.stream(servers).map(Server::address).toList());
+    }
+
+    /** A node before servers at these addresses, with bounds of its own on the connections. */
+    Rig(ClientConnections.Limits limits, PoolSettings pool, List<InetSocketAddress> servers)
+        throws IOException, InterruptedException {
+      this(new Server(line -> null), limits, 256, pool, servers);
+    }
+
+    private Rig(
+        Server discovery,
+        ClientConnections.Limits limits,
+        int sockets,
+        PoolSettings pool,
+        List<InetSocketAddress> servers)
+        throws IOException, InterruptedException {
       this.discovery = discovery;
       List<MemberList.Member> members = new ArrayList<>();
-      for (Server server : servers) {
+      for (InetSocketAddress server : servers) {
+        long id = MemberList.number("s-" + server.getPort());
         members.add(
             new MemberList.Member(
-                new ServerEntry(
-                    MemberList.number("s-" + server.address().getPort()),
-                    "a",
-                    "box",
-                    0,
-                    ServerEntry.State.READY,
-                    1,
-                    0),
-                server.address()));
+                new ServerEntry(id, "a", "box", 0, ServerEntry.State.READY, 1, 0), server));
       }
-      Settings settings =
-          settings(new Settings.Limits(6, true, true, false, false, false, 1, 2, 60, 32));
-      PoolSettings pool = Peers.pool(settings, sockets);
       node =
           new Node(
               new NodeConfig(
@@ -331,7 +346,7 @@
                   sockets,
                   64,
                   new MemberList(true, 1, members),
-                  settings,
+                  SETTINGS,
                   null,
                   pool,
                   "rig",
