--- a/src/main/java/beamspread/cli/MeasurePool.java
+++ b/src/main/java/beamspread/cli/MeasurePool.java
@@ -128,7 +128,8 @@
             "P50 MS",
             "P99 MS",
             "CONNECTS",
-            "REFUSED",
+            "BEYOND LIMIT",
+            "TURNED AWAY",
             "FAILED");
     long[][][] all = new long[7][jars.size()][rounds];
     for (int round = 0; round < rounds; round++) {
