--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -212,7 +212,7 @@
 
   /**
    * Once a second, the fleet's usual strain, how many fail, and the rates. The warm rate counts
-   * answers: in a storm of retries sends say nothing of what a server can do.
+   * answers, and falls slowly: retries, little load or too much say nothing of what a server can do.
    */
   private void everySecond(double now) {
     rateAt = Double.isNaN(rateAt) ? now : rateAt;
@@ -227,7 +227,7 @@
       }
       if (weight > 0) {
         double rate = warmAnswers / (now - rateAt) / weight;
-        warmRate = warmRate == 0 ? rate : warmRate + 0.3 * (rate - warmRate);
+        warmRate += (warmRate == 0 ? 1 : rate > warmRate ? 0.3 : 0.02) * (rate - warmRate);
       }
       warmAnswers = 0;
       double answered = answers / (now - rateAt);
