--- a/src/main/java/beamspread/policy/ServerHealth.java
+++ b/src/main/java/beamspread/policy/ServerHealth.java
@@ -160,10 +160,10 @@
 
   /**
    * Rule 4: whether a cold server's budget has room for one more request. The rate is at which warm
-   * servers of like weight answer this balancer, times what the cold one can do by now.
+   * servers of like weight answer, times what it can do by now, twice while it answers with ease.
    */
   boolean coldRoom(double now, double warmRate) {
-    double rate = warmRate * warmth(now);
+    double rate = warmRate * warmth(now) * Math.max(1, Math.min(2, 0.5 / strain(now)));
     tokens = Math.min(Math.max(1, rate * 0.25), tokens + (now - tokensAt) * rate);
     tokensAt = now;
     return tokens >= 1;
