--- a/src/main/java/beamspread/model/Settings.java
+++ b/src/main/java/beamspread/model/Settings.java
@@ -38,6 +38,26 @@
     double overShareWorth,
     double tick) {
 
+  /** The same with other limits. */
+  public Settings with(Limits others) {
+    return new Settings(
+        zone,
+        zones,
+        kinds,
+        number,
+        instances,
+        asksForList,
+        weights,
+        cache,
+        others,
+        contract,
+        prices,
+        services,
+        tenants,
+        overShareWorth,
+        tick);
+  }
+
   /** What the weights in the list mean. */
   public enum Weights {
     NONE,
@@ -89,6 +109,7 @@
    * @param connectTimeout seconds after which a connection attempt fails
    * @param idleTimeout seconds after which an idle connection is closed
    * @param perConnection attempts that share a connection
+   * @param maxOpen requests that may be open at a time
    */
   public record Limits(
       int maxAttempts,
@@ -100,7 +121,25 @@
       double maxRetryAfter,
       double connectTimeout,
       double idleTimeout,
-      int perConnection) {}
+      int perConnection,
+      int maxOpen) {
+
+    /** The same with no more requests open than this. */
+    public Limits open(int most) {
+      return new Limits(
+          maxAttempts,
+          parallelAttempts,
+          mayCancel,
+          mayProbe,
+          mayTell,
+          advisesRetry,
+          maxRetryAfter,
+          connectTimeout,
+          idleTimeout,
+          perConnection,
+          Math.min(most, maxOpen));
+    }
+  }
 
   /**
    * The figures of the four rules.
--- a/src/main/java/beamspread/node/NodeConfig.java
+++ b/src/main/java/beamspread/node/NodeConfig.java
@@ -47,6 +47,13 @@
     String statusSocket,
     Management management) {
 
+  /**
+   * The part of the descriptors that open requests may take: three quarters of what clients hold at
+   * most. Guards against a jam in which those who wait hold every connection: who comes then is not
+   * even refused. It could do harm where answers take long and nothing is wrong with that.
+   */
+  private static final int OPEN_PART = 4;
+
   /**
    * Where operators call this node, and what its processes share.
    *
@@ -86,6 +93,7 @@
       throw new WireException("settings: " + String.join("; ", faults));
     }
     int sockets = (int) limits.requiredNumber("sockets");
+    settings = settings.with(settings.limits().open(Math.max(8, sockets / OPEN_PART)));
     return new NodeConfig(
         MemberList.listenAddress(config.requiredText("listen")),
         MemberList.address(config.requiredText("discovery")),
--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -144,7 +144,7 @@
     // their own, and one for each server is always fair.
     int busy = inFlight - guard.fetches;
     boolean hopeless = busy > ready.size() && busy > answerRate * type.aim();
-    if (hopeless || !dispatch(now, p)) {
+    if (hopeless || pending.size() > settings.limits().maxOpen() || !dispatch(now, p)) {
       giveUp(p);
     }
   }
@@ -212,7 +212,8 @@
 
   /**
    * Once a second, the fleet's usual strain, how many fail, and the rates. The warm rate counts
-   * answers, and falls slowly: retries, little load or too much say nothing of what a server can do.
+   * answers, and falls slowly: retries, little load or too much say nothing of what a server can
+   * do.
    */
   private void everySecond(double now) {
     rateAt = Double.isNaN(rateAt) ? now : rateAt;
--- a/src/main/java/beamspread/sim/Dialect.java
+++ b/src/main/java/beamspread/sim/Dialect.java
@@ -61,7 +61,8 @@
             caps.number("max-retry-after", 0),
             caps.number("connect-timeout", 0),
             caps.number("conn-idle", 0),
-            (int) caps.number("multiplex", 1)),
+            (int) caps.number("multiplex", 1),
+            (int) caps.number("open-cap", Integer.MAX_VALUE)),
         new Settings.Contract(
             contract.number("grace-to-answer", 0),
             contract.number("ask-within", 0),
--- a/src/test/java/beamspread/node/DiscoveryPaceTest.java
+++ b/src/test/java/beamspread/node/DiscoveryPaceTest.java
@@ -13,7 +13,8 @@
   @Test
   void aNodeWithoutAnyFigureDoesNotRunDiscoveryDown() throws Exception {
     Settings good =
-        Peers.settings(new Settings.Limits(6, true, true, false, false, false, 1, 2, 60, 32));
+        Peers.settings(
+            new Settings.Limits(6, true, true, false, false, false, 1, 2, 60, 32, 20000));
     Settings blank =
         new Settings(
             good.zone(),
--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -293,7 +293,7 @@
   /** A node whose list names these servers and whose discovery says nothing else. */
   static final class Rig implements AutoCloseable {
     private static final Settings SETTINGS =
-        settings(new Settings.Limits(6, true, true, false, false, false, 1, 2, 60, 32));
+        settings(new Settings.Limits(6, true, true, false, false, false, 1, 2, 60, 32, 20000));
 
     final Node node;
     final InetSocketAddress address;
--- a/src/test/java/beamspread/node/PoolPlanTest.java
+++ b/src/test/java/beamspread/node/PoolPlanTest.java
@@ -14,7 +14,7 @@
 /** The operators' file on connections to cache servers. */
 class PoolPlanTest {
   private static final Settings SETTINGS =
-      Peers.settings(new Settings.Limits(6, true, true, false, false, false, 1, 2, 60, 32));
+      Peers.settings(new Settings.Limits(6, true, true, false, false, false, 1, 2, 60, 32, 20000));
 
   private static PoolSettings read(String json) throws WireException {
     return PoolPlan.of(SETTINGS, 256, json == null ? null : Message.parse(json));
--- a/src/test/java/beamspread/policy/FailuresTest.java
+++ b/src/test/java/beamspread/policy/FailuresTest.java
@@ -358,7 +358,7 @@
   void whoIsRefusedIsToldWhenToComeBackWhereThatIsTheCustom() {
     for (boolean custom : new boolean[] {true, false}) {
       Settings.Limits limits =
-          new Settings.Limits(4, true, true, false, false, custom, 0.6, 0.1, 60, 32);
+          new Settings.Limits(4, true, true, false, false, custom, 0.6, 0.1, 60, 32, 20000);
       Rig.Recorder recorder = new Rig.Recorder();
       Balancer none = new Balancer(Rig.settings(false, limits), 1, recorder);
       for (int i = 0; i < 50; i++) {
--- a/src/test/java/beamspread/policy/Rig.java
+++ b/src/test/java/beamspread/policy/Rig.java
@@ -67,7 +67,8 @@
   static Settings settings(boolean asks, int maxAttempts, boolean parallel) {
     return settings(
         asks,
-        new Settings.Limits(maxAttempts, parallel, true, false, false, false, 1, 0.1, 60, 32));
+        new Settings.Limits(
+            maxAttempts, parallel, true, false, false, false, 1, 0.1, 60, 32, 20000));
   }
 
   static Settings settings(boolean asks, Settings.Limits limits) {
