--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -204,7 +204,7 @@
   }
 
   private void send(double now, PendingRequest p, ServerHealth target) {
-    target.sent(now, target.warmth(now) < 1);
+    target.sent();
     p.sent(target, now);
     inFlight++;
     actions.send(p.request.id(), target.id, 0);
--- a/src/main/java/beamspread/policy/ServerHealth.java
+++ b/src/main/java/beamspread/policy/ServerHealth.java
@@ -26,6 +26,9 @@
   /** Seconds in which unrenewed strain fades to a third. */
   private static final double STRAIN_FADES = 3;
 
+  /** Strain under which a server answers with ease. */
+  private static final double EASE = 0.5;
+
   final long id;
   ServerEntry entry;
   int inFlight;
@@ -159,21 +162,20 @@
   }
 
   /**
-   * Rule 4: whether a cold server's budget has room for one more request. The rate is at which warm
-   * servers of like weight answer, times what it can do by now, twice while it answers with ease.
+   * Rule 4: whether a cold server's budget has room for one more request: at the rate at which warm
+   * servers of like weight answer, times what it can do by now, and for each answer with ease one.
+   * What all balancers send is then under what it can do by contract and what it does together.
    */
   boolean coldRoom(double now, double warmRate) {
-    double rate = warmRate * warmth(now) * Math.max(1, Math.min(2, 0.5 / strain(now)));
+    double rate = warmRate * warmth(now);
     tokens = Math.min(Math.max(1, rate * 0.25), tokens + (now - tokensAt) * rate);
     tokensAt = now;
     return tokens >= 1;
   }
 
-  void sent(double now, boolean cold) {
+  void sent() {
     inFlight++;
-    if (cold) {
-      tokens -= 1;
-    }
+    tokens--;
     if (suspect()) {
       trialOut = true;
     }
@@ -186,6 +188,7 @@
     boolean failed = outcome.blamesServer();
     unserved = served ? 0 : unserved + (failed ? 1 : 0);
     servedAt = served ? now : servedAt;
+    tokens += served && strain(now) < EASE ? 1 : 0;
     inFlight--;
     trialOut = false;
     boolean was = suspect();
