--- a/src/test/java/beamspread/policy/FailuresTest.java
+++ b/src/test/java/beamspread/policy/FailuresTest.java
@@ -180,7 +180,7 @@
   }
 
   private static boolean ended(ServerHealth server, double now, Outcome.Result result) {
-    server.sent(now, false);
+    server.sent();
     return server.ended(now, Rig.outcome("a", 0, server.id, result), 60, true);
   }
 
@@ -245,7 +245,7 @@
         ServerHealth one = server(1);
         for (int i = 0; i < ServerHealth.UNSERVED_AFTER; i++) {
           assertFalse(one.suspect());
-          one.sent(100, false);
+          one.sent();
           one.ended(100 + i, Rig.outcome("a", 0, 1, way), 60, few);
         }
         assertEquals(few, one.suspect(), way + " " + few);
