--- a/src/test/java/beamspread/policy/RulesTest.java
+++ b/src/test/java/beamspread/policy/RulesTest.java
@@ -141,6 +141,8 @@
     Random random = new Random(4);
     world.warmRate = 200.0 / 8;
     int coldSends = 0;
+    // The cold one works off what it gets no faster than it can by contract.
+    double coldFreeAt = 0;
     for (int i = 0; i < 6000; i++) {
       world.now += 0.005;
       if (i == 2000) {
@@ -157,6 +159,15 @@
         for (int a = 0; a < t.attempts.size(); a++) {
           if (t.attempts.get(a).out) {
             long server = t.attempts.get(a).server;
+            double age = world.now - (100 + 2000 * 0.005);
+            if (server == 3 && age > 0 && age < settings.contract().warmWithin()) {
+              if (coldFreeAt > world.now) {
+                continue;
+              }
+              double from = settings.contract().coldFrom();
+              double warmth = from + (1 - from) * age / settings.contract().warmWithin();
+              coldFreeAt = Math.max(coldFreeAt, world.now - 0.005) + 1 / (warmth * world.warmRate);
+            }
             coldSends += i > 2000 && i < 4000 && server == 3 ? 1 : 0;
             world.ends(t.request.id(), a, Outcome.Result.OK);
             balancer.outcome(world.now, Rig.outcome(t.request.id(), a, server, Outcome.Result.OK));
