A process that takes over goes on with what the one before has learnt

Need: after an upgrade in the middle of a rush the new process takes its first second for the rate at which servers answer (47 for 184 a second) and refuses what they could do; its cold servers get a budget by a warm rate of 2.1 instead of 7.2. Change: a process shows that it lives before it rehearses; one that serves beside it leaves a note with its rates and the shares of keys that servers are offered; the new one takes it over if it is fresh and makes sense. Processes show what they hold in sockets, and leave one another that instead of half. Hashes move to model: they are no decision.

--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -1,12 +1,14 @@
 package beamspread.node;
 
 import beamspread.maintenance.Figures;
+import beamspread.model.Learnt;
 import beamspread.model.LoadReport;
 import beamspread.model.MembershipUpdate;
 import beamspread.model.Outcome;
 import beamspread.model.Settings;
 import beamspread.node.client.ClientHandler;
 import beamspread.node.client.Requests;
+import beamspread.node.handover.LearntNote;
 import beamspread.node.server.Attempt;
 import beamspread.node.server.Outcomes;
 import beamspread.node.server.ServerPools;
@@ -68,7 +70,7 @@
   private final Set<String> guarded = new HashSet<>();
 
   private NodeConfig config;
-  private int sharers = 1;
+  private int heldByOthers;
   private boolean telling;
   private boolean rescuing;
   private long rescueUntil;
@@ -130,17 +132,19 @@
       log.line("discovery moves to " + changed.discovery());
       discovery.move(changed.discovery());
     }
-    pools.use(changed.pool().shared(sharers));
+    pools.use(changed.pool().without(heldByOthers));
     if (changed.needsRestart(config)) {
       log.line("new settings, limits or listening address: taken over at the next start");
     }
     config = changed;
   }
 
-  /** Shares the sockets to cache servers with the other processes of this node. */
-  void share(int processes) {
-    sharers = processes;
-    pools.use(config.pool().shared(processes));
+  /** Leaves other processes of this node the sockets to cache servers that they hold. */
+  void share(int held) {
+    if (held != heldByOthers) {
+      heldByOthers = held;
+      pools.use(config.pool().without(held));
+    }
   }
 
   /**
@@ -196,6 +200,21 @@
     return pools;
   }
 
+  /** What a successor had better know, null if too little is learnt yet. */
+  byte[] learnt() {
+    double now = clock.now();
+    return LearntNote.write(now, balancer.learnt(now));
+  }
+
+  /** Takes over a predecessor's note once the list is known; whether it was a good one. */
+  boolean inherit(byte[] note) {
+    Learnt learnt = LearntNote.read(clock.now(), note);
+    if (learnt != null) {
+      balancer.inherit(learnt);
+    }
+    return learnt != null;
+  }
+
   Targets targets() {
     return targets;
   }
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -22,7 +22,6 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
@@ -145,8 +144,12 @@
       System.err.println("serve: " + e.getMessage());
       return 2;
     }
-    Rehearsal.run(config, new Log(config.name(), config.jsonLog()));
+    Log log = new Log(config.name(), config.jsonLog());
+    // First, so that a process that serves beside this one tells it what it has learnt.
+    SharedFolder shared = sharedFolder(config, log);
+    Rehearsal.run(config, log);
     Node node = new Node(config);
+    node.shared = shared;
     if (config.statusSocket() != null) {
       String digest = digest(bytes);
       node.configuration = new NodeStatus.Configuration(1, digest, 1, digest, null, false);
@@ -177,7 +180,8 @@
   SocketAddress start() throws IOException, InterruptedException {
     NodeConfig.Management management = config.management();
     if (management != null) {
-      operators = new OperatorCalls(dispatcher, sharedFolder(), log, this::share);
+      shared = shared == null ? sharedFolder(config, log) : shared;
+      operators = new OperatorCalls(dispatcher, shared, log, holdings());
     }
     loop.submit(
             () -> {
@@ -185,6 +189,9 @@
                 operators.look();
               }
               dispatcher.start(config.known());
+              if (operators != null) {
+                operators.inherit();
+              }
             })
         .await();
     // Only a node that can be upgraded shares its address: elsewhere a second one is a mistake.
@@ -220,24 +227,38 @@
     return listener.localAddress();
   }
 
-  /** Shares what this node may hold with its other processes. */
-  private void share(int processes) {
-    clients.share(processes);
-    dispatcher.share(processes);
+  private OperatorCalls.Holdings holdings() {
+    return new OperatorCalls.Holdings() {
+      @Override
+      public int clients() {
+        return clients.count();
+      }
+
+      @Override
+      public int servers() {
+        return dispatcher.pools().sockets();
+      }
+
+      @Override
+      public void share(int otherClients, int otherServers) {
+        clients.share(otherClients);
+        dispatcher.share(otherServers);
+      }
+    };
   }
 
-  private SharedFolder sharedFolder() {
-    Path folder = config.management().folder();
-    if (folder == null) {
+  /** Opens what the processes of one node share; null if there is nothing, or it can't be used. */
+  private static SharedFolder sharedFolder(NodeConfig config, Log log) {
+    if (config.management() == null || config.management().folder() == null) {
       return null;
     }
     try {
-      shared = SharedFolder.open(folder);
+      return SharedFolder.open(config.management().folder());
     } catch (IOException | RuntimeException e) {
       // Better a node that can't be upgraded without loss than none.
       log.line("no shared folder, servers taken out are forgotten at an end: " + e.getMessage());
+      return null;
     }
-    return shared;
   }
 
   private void accept(Channel channel) {
--- a/src/main/java/beamspread/node/OperatorCalls.java
+++ b/src/main/java/beamspread/node/OperatorCalls.java
@@ -9,54 +9,55 @@
 import java.io.IOException;
 import java.util.HashSet;
 import java.util.Set;
-import java.util.function.IntConsumer;
 
 /**
  * Carries out what operators call for, and keeps this process at one with the others of its node.
  * All of it runs on the event loop.
  */
 final class OperatorCalls implements MgmtCalls {
+  /** What two processes of one node share of what it may hold. */
+  interface Holdings {
+    /** Connections of clients that this process holds. */
+    int clients();
+
+    /** Sockets to cache servers that this process holds. */
+    int servers();
+
+    /** The others hold so many. */
+    void share(int clients, int servers);
+  }
+
   private final Dispatcher dispatcher;
   private final Log log;
 
   /** What all processes of this node share, null for nothing. */
   private final SharedFolder folder;
 
-  /** Is told how many processes share what this node may hold. */
-  private final IntConsumer sharers;
+  /** What this process holds, and who is told what the others hold. */
+  private final Holdings holdings;
 
   /** Taken out here and not on record, since the folder could not be written to. */
   private final Set<Long> unrecorded = new HashSet<>();
 
   private int others;
   private volatile boolean othersTake;
-  private boolean takes;
+  private SharedFolder.Phase phase = SharedFolder.Phase.STARTS;
   private boolean troubled;
 
   /**
    * @param folder what all processes of this node share, null for nothing
    */
-  OperatorCalls(Dispatcher dispatcher, SharedFolder folder, Log log, IntConsumer sharers) {
+  OperatorCalls(Dispatcher dispatcher, SharedFolder folder, Log log, Holdings holdings) {
     this.dispatcher = dispatcher;
     this.folder = folder;
     this.log = log;
-    this.sharers = sharers;
+    this.holdings = holdings;
   }
 
   /** This process takes clients from now on, or no more. */
   void takes(boolean now) {
-    takes = now;
-    if (folder != null) {
-      try {
-        if (now) {
-          folder.takesClients();
-        } else {
-          folder.takesNoMore();
-        }
-      } catch (IOException e) {
-        log.failure("shared folder", e);
-      }
-    }
+    phase = now ? SharedFolder.Phase.TAKES : SharedFolder.Phase.ENDS;
+    look();
   }
 
   /** Whether another process of this node takes clients, as of the last look. */
@@ -72,6 +73,7 @@
     SharedFolder.Sight sight;
     try {
       record();
+      folder.show(new SharedFolder.Shown(phase, holdings.clients(), holdings.servers()));
       sight = folder.look();
       unrecorded.removeAll(sight.detached());
     } catch (IOException e) {
@@ -83,10 +85,15 @@
     }
     troubled = false;
     othersTake = sight.othersTake();
-    if (sight.others() != others) {
-      others = sight.others();
+    if (sight.others().size() != others) {
+      others = sight.others().size();
       log.line(others + " other processes of this node run");
-      sharers.accept(others + 1);
+    }
+    holdings.share(
+        sight.others().stream().mapToInt(SharedFolder.Shown::clients).sum(),
+        sight.others().stream().mapToInt(SharedFolder.Shown::servers).sum());
+    if (phase == SharedFolder.Phase.TAKES && others > 0) {
+      leaveLearnt();
     }
     Detachments detachments = dispatcher.targets().detachments();
     Set<Long> here = detachments.detached();
@@ -102,6 +109,34 @@
     }
   }
 
+  /** Tells one that starts beside this process what it had better know from the start. */
+  private void leaveLearnt() {
+    byte[] note = dispatcher.learnt();
+    if (note == null) {
+      return;
+    }
+    try {
+      folder.leaveLearnt(note);
+    } catch (IOException e) {
+      log.failure("note to a successor", e);
+    }
+  }
+
+  /** Takes over what the process before this one has learnt, if it is still true. */
+  void inherit() {
+    if (folder == null) {
+      return;
+    }
+    try {
+      byte[] note = folder.learnt();
+      if (note != null && dispatcher.inherit(note)) {
+        log.line("goes on with what the process before has learnt");
+      }
+    } catch (IOException e) {
+      log.failure("note of a predecessor", e);
+    }
+  }
+
   /** Puts on record what could not be so far. */
   private void record() throws IOException {
     for (long server : Set.copyOf(unrecorded)) {
@@ -111,7 +146,7 @@
 
   @Override
   public boolean ready() {
-    return takes;
+    return phase == SharedFolder.Phase.TAKES;
   }
 
   @Override
--- a/src/main/java/beamspread/node/client/ClientConnections.java
+++ b/src/main/java/beamspread/node/client/ClientConnections.java
@@ -61,8 +61,8 @@
   private Runnable whenEmpty;
   private long accepted;
 
-  /** By how many processes the connections are shared. */
-  private int sharers = 1;
+  /** Connections that other processes of this node hold. */
+  private int heldByOthers;
 
   /** None yet; the watch is that of the event loop that they are on. */
   public ClientConnections(Limits limits, LoopWatch watch) {
@@ -75,17 +75,13 @@
   }
 
   /**
-   * Shares what may be open with other processes of this node. Nothing that is open ends for it:
-   * what is beyond the share gives way to new connections, or falls idle.
+   * Leaves other processes of this node what they hold, but keeps at least half. Nothing that is
+   * open ends for it: what is beyond gives way to new connections, or falls idle.
    *
-   * @param processes how many share, this one included
+   * @param held connections that the others hold
    */
-  public void share(int processes) {
-    sharers = Math.max(1, processes);
-  }
-
-  private int most() {
-    return Math.max(1, limits.connections() / sharers);
+  public void share(int held) {
+    heldByOthers = held;
   }
 
   /** Nanoseconds that leave out the time in which the event loop did not run. */
@@ -94,6 +90,11 @@
     return now - watch.lostNanos(now);
   }
 
+  private int most() {
+    int all = limits.connections();
+    return Math.max(1, Math.max(all / 2, all - heldByOthers));
+  }
+
   /**
    * How long a connection is kept between requests. Guards against clients that ask once and keep
    * their connection: these use up what all clients together may hold, long before this node runs
--- a/src/main/java/beamspread/node/handover/SharedFolder.java
+++ b/src/main/java/beamspread/node/handover/SharedFolder.java
@@ -4,15 +4,21 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.DirectoryIteratorException;
 import java.nio.file.DirectoryStream;
 import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
 import java.nio.file.LinkOption;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.nio.file.attribute.PosixFilePermission;
 import java.nio.file.attribute.PosixFilePermissions;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -25,18 +31,46 @@
 public final class SharedFolder implements AutoCloseable {
   private static final String PROCESS = "process-";
   private static final String DETACHED = "detached-";
+  private static final String LEARNT = "learnt";
+
+  /** A note of more bytes than this is none of ours. */
+  private static final int LONGEST_NOTE = 1 << 20;
 
   /** Files looked at in one go: far above what a node writes, so that a look stays short. */
   private static final int MOST_FILES = 8192;
 
+  /** What a process is at. */
+  public enum Phase {
+    /** It has begun and takes no clients yet. */
+    STARTS,
+    TAKES,
+    /** It answers what it has taken, and takes no more. */
+    ENDS
+  }
+
+  /**
+   * What a process shows the others of itself.
+   *
+   * @param phase what it is at
+   * @param clients connections of clients that it holds
+   * @param servers sockets to cache servers that it holds
+   */
+  public record Shown(Phase phase, int clients, int servers) {
+    static final int BYTES = 9;
+  }
+
   /**
    * What a look has found.
    *
    * @param detached servers that are taken out, by their numbers
-   * @param others how many other processes of this node live
-   * @param othersTake whether one of these takes clients
+   * @param others what the other living processes of this node show
    */
-  public record Sight(Set<Long> detached, int others, boolean othersTake) {}
+  public record Sight(Set<Long> detached, List<Shown> others) {
+    /** Whether another process takes clients. */
+    public boolean othersTake() {
+      return others.stream().anyMatch(other -> other.phase() == Phase.TAKES);
+    }
+  }
 
   private final Path folder;
   private final Path own;
@@ -77,21 +111,17 @@
     return new SharedFolder(folder, own, channel, lock);
   }
 
-  /** Shows the others that this process takes clients from now on. */
-  public void takesClients() throws IOException {
-    channel.write(ByteBuffer.wrap(new byte[] {1}), 0);
-  }
-
-  /** Shows the others that this process takes no more clients. */
-  public void takesNoMore() throws IOException {
-    channel.truncate(0);
+  /** Shows the others what this process is at. */
+  public void show(Shown now) throws IOException {
+    ByteBuffer bytes = ByteBuffer.allocate(Shown.BYTES);
+    bytes.put((byte) now.phase().ordinal()).putInt(now.clients()).putInt(now.servers()).flip();
+    channel.write(bytes, 0);
   }
 
   /** Looks at what is there now; clears away what processes left that have ended. */
   public Sight look() throws IOException {
     Set<Long> detached = new HashSet<>();
-    int others = 0;
-    boolean taking = false;
+    List<Shown> others = new ArrayList<>();
     int files = 0;
     try (DirectoryStream<Path> all = Files.newDirectoryStream(folder)) {
       for (Path file : all) {
@@ -101,15 +131,17 @@
         }
         if (name.startsWith(DETACHED)) {
           number(name, detached);
-        } else if (name.startsWith(PROCESS) && !file.equals(own) && lives(file)) {
-          others++;
-          taking |= Files.exists(file) && Files.size(file) > 0;
+        } else if (name.startsWith(PROCESS) && !file.equals(own)) {
+          Shown shown = shown(file);
+          if (shown != null) {
+            others.add(shown);
+          }
         }
       }
-    } catch (java.nio.file.DirectoryIteratorException e) {
+    } catch (DirectoryIteratorException e) {
       throw e.getCause();
     }
-    return new Sight(detached, others, taking);
+    return new Sight(detached, others);
   }
 
   private static void number(String name, Set<Long> into) {
@@ -120,18 +152,30 @@
     }
   }
 
-  private static boolean lives(Path file) throws IOException {
-    try (FileChannel other = FileChannel.open(file, StandardOpenOption.WRITE)) {
-      FileLock free = other.tryLock();
-      if (free == null) {
-        return true;
+  /** What a living process shows, null if it lives no more. */
+  private static Shown shown(Path file) throws IOException {
+    try (FileChannel other =
+        FileChannel.open(file, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
+      if (!locked(other)) {
+        Files.deleteIfExists(file);
+        return null;
       }
-      Files.deleteIfExists(file);
-      return false;
-    } catch (java.nio.channels.OverlappingFileLockException e) {
-      return true; // Another node object of this same process, as in tests.
-    } catch (java.nio.file.NoSuchFileException e) {
-      return false;
+      ByteBuffer bytes = ByteBuffer.allocate(Shown.BYTES);
+      if (other.read(bytes, 0) < Shown.BYTES || bytes.get(0) >= Phase.values().length) {
+        return new Shown(Phase.STARTS, 0, 0);
+      }
+      bytes.flip();
+      return new Shown(Phase.values()[bytes.get()], bytes.getInt(), bytes.getInt());
+    } catch (NoSuchFileException e) {
+      return null;
+    }
+  }
+
+  private static boolean locked(FileChannel other) throws IOException {
+    try {
+      return other.tryLock() == null;
+    } catch (OverlappingFileLockException e) {
+      return true; // Another node of this same process, as in tests.
     }
   }
 
@@ -139,6 +183,24 @@
     return folder.resolve(DETACHED + Long.toHexString(server));
   }
 
+  /** Leaves a note of what this process has learnt; a reader finds a whole one or none. */
+  public void leaveLearnt(byte[] note) throws IOException {
+    Path whole = folder.resolve(LEARNT);
+    Path next = folder.resolve(LEARNT + "-" + ProcessHandle.current().pid());
+    Files.write(next, note);
+    Files.move(next, whole, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+  }
+
+  /** The note that was left last, null if there is none. */
+  public byte[] learnt() throws IOException {
+    Path whole = folder.resolve(LEARNT);
+    try {
+      return Files.size(whole) > LONGEST_NOTE ? null : Files.readAllBytes(whole);
+    } catch (NoSuchFileException e) {
+      return null;
+    }
+  }
+
   /** Puts on record that a server is taken out, if it is not yet. */
   public void detach(long server) throws IOException {
     try {
--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -1,5 +1,7 @@
 package beamspread.policy;
 
+import beamspread.model.Hashes;
+import beamspread.model.Learnt;
 import beamspread.model.MembershipUpdate;
 import beamspread.model.Outcome;
 import beamspread.model.Request;
@@ -130,8 +132,7 @@
     everySecond(now);
     requests++;
     String subject = request.key() != null ? request.key() : request.id();
-    PendingRequest p =
-        new PendingRequest(request, type, SlotTable.hash(subject), serials += 2, now);
+    PendingRequest p = new PendingRequest(request, type, Hashes.of(subject), serials += 2, now);
     pending.put(request.id(), p);
     bySerial.put(p.serial, p);
     if (request.key() != null) {
@@ -527,4 +528,19 @@
     }
     answer(p);
   }
+
+  /** What a successor had better know from the start. */
+  public Learnt learnt(double now) {
+    Map<Long, Double> shares = new HashMap<>();
+    ready.forEach(server -> shares.put(server.id, server.share(now)));
+    return new Learnt(warmRate, answerRate, requestRate, shares);
+  }
+
+  /** Takes over what a predecessor has learnt, once the list is known. */
+  public void inherit(Learnt learnt) {
+    warmRate = learnt.warmRate();
+    answerRate = learnt.answerRate();
+    requestRate = learnt.requestRate();
+    ready.forEach(server -> server.share = learnt.shares().getOrDefault(server.id, 1.0));
+  }
 }
--- a/src/main/java/beamspread/policy/KeyHeat.java
+++ b/src/main/java/beamspread/policy/KeyHeat.java
@@ -1,5 +1,7 @@
 package beamspread.policy;
 
+import beamspread.model.Hashes;
+
 /** How often this balancer sees each key: a small count-min sketch that fades. */
 final class KeyHeat {
   private static final int CELLS = 1 << 12;
@@ -27,7 +29,7 @@
     float least = Float.MAX_VALUE;
     long h = keyHash;
     for (float[] row : rows) {
-      h = SlotTable.mix(h);
+      h = Hashes.mix(h);
       least = Math.min(least, ++row[(int) h & (CELLS - 1)]);
     }
     return least;
--- a/src/main/java/beamspread/policy/OriginGuard.java
+++ b/src/main/java/beamspread/policy/OriginGuard.java
@@ -1,5 +1,6 @@
 package beamspread.policy;
 
+import beamspread.model.Hashes;
 import beamspread.model.Outcome;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -48,7 +49,7 @@
   private double shrunkAt;
 
   static long pair(PendingRequest p, ServerHealth server) {
-    return SlotTable.mix(p.keyHash ^ SlotTable.mix(server.id));
+    return Hashes.mix(p.keyHash ^ Hashes.mix(server.id));
   }
 
   boolean expectsMiss(double now, long pair) {
--- a/src/main/java/beamspread/policy/ServerHealth.java
+++ b/src/main/java/beamspread/policy/ServerHealth.java
@@ -1,5 +1,6 @@
 package beamspread.policy;
 
+import beamspread.model.Hashes;
 import beamspread.model.Outcome;
 import beamspread.model.ServerEntry;
 import beamspread.model.Settings;
@@ -37,7 +38,7 @@
    * The share of its keys that the server is offered, learned from how it fares: the others jump.
    * Which keys stay goes by their hash alone, so balancers that learn alike move the same keys.
    */
-  private double share = 1;
+  double share = 1;
 
   /** How strained it is, lately: above 1 its answers come late or its cores are all in use. */
   private double strain = 0.5;
@@ -148,7 +149,7 @@
   /** Whether the key is among those that the server keeps while it is offered but a share. */
   boolean keeps(double now, long keyHash, double most) {
     double kept = share(now) / most;
-    return kept >= 1 || SlotTable.fraction(keyHash ^ SlotTable.mix(id)) < kept;
+    return kept >= 1 || Hashes.fraction(keyHash ^ Hashes.mix(id)) < kept;
   }
 
   /** The share of its capacity that a started server has by the contract: 1 once it is warm. */
--- a/src/main/java/beamspread/policy/SlotTable.java
+++ b/src/main/java/beamspread/policy/SlotTable.java
@@ -1,5 +1,6 @@
 package beamspread.policy;
 
+import beamspread.model.Hashes;
 import java.util.Arrays;
 import java.util.List;
 
@@ -24,7 +25,7 @@
     for (ServerHealth server : servers) {
       int points = weighted ? points(server.entry.weight() / unit) : POINTS;
       for (int p = 0; p < points; p++) {
-        int slot = (int) mix(mix(server.id) + p) & MASK;
+        int slot = (int) Hashes.mix(Hashes.mix(server.id) + p) & MASK;
         if (owners[slot] == null || server.id < owners[slot].id) {
           owners[slot] = server;
         }
@@ -57,28 +58,6 @@
 
   /** The owner of slot h(key, attempt); null if there are no servers. */
   ServerHealth owner(long keyHash, int attempt) {
-    return owners[(int) mix(keyHash + attempt * 0x9E3779B97F4A7C15L) & MASK];
-  }
-
-  /** A 64-bit hash of a text: FNV-1a, then mixed. */
-  static long hash(String text) {
-    long h = 0xCBF29CE484222325L;
-    for (int i = 0; i < text.length(); i++) {
-      h = (h ^ text.charAt(i)) * 0x100000001B3L;
-    }
-    return mix(h);
-  }
-
-  /** The finalizer of SplitMix64. */
-  static long mix(long z) {
-    z += 0x9E3779B97F4A7C15L;
-    z = (z ^ (z >>> 30)) * 0xBF58476D1CE4E5B9L;
-    z = (z ^ (z >>> 27)) * 0x94D049BB133111EBL;
-    return z ^ (z >>> 31);
-  }
-
-  /** A hash as a number in [0, 1). */
-  static double fraction(long hash) {
-    return (mix(hash) >>> 11) * 0x1.0p-53;
+    return owners[(int) Hashes.mix(keyHash + attempt * 0x9E3779B97F4A7C15L) & MASK];
   }
 }
--- a/src/main/java/beamspread/pool/PoolSettings.java
+++ b/src/main/java/beamspread/pool/PoolSettings.java
@@ -33,13 +33,13 @@
     long suspectNanos,
     long coldNanos) {
 
-  /** The same with the sockets shared by so many processes; each keeps at least one. */
-  public PoolSettings shared(int processes) {
+  /** The same without the sockets that others hold, but with half of them at least. */
+  public PoolSettings without(int held) {
     return new PoolSettings(
         connections,
         leaving,
         depth,
-        Math.max(1, sockets / Math.max(1, processes)),
+        Math.max(1, Math.max(sockets / 2, sockets - held)),
         openingEach,
         openingAll,
         spare,
--- a/src/test/java/beamspread/policy/FailuresTest.java
+++ b/src/test/java/beamspread/policy/FailuresTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beamspread.model.Hashes;
 import beamspread.model.LoadReport;
 import beamspread.model.MembershipUpdate;
 import beamspread.model.Outcome;
@@ -31,7 +32,7 @@
     return new PendingRequest(
         Rig.request("r" + serial, key, "safe", 1),
         SETTINGS.services().get(0),
-        SlotTable.hash(key),
+        Hashes.of(key),
         serial,
         100);
   }
@@ -89,7 +90,7 @@
     assertTrue(slow.share(102) < 0.2, "share " + slow.share(102));
     int kept = 0;
     for (long key = 0; key < 1000; key++) {
-      kept += slow.keeps(102, SlotTable.mix(key), 1) ? 1 : 0;
+      kept += slow.keeps(102, Hashes.mix(key), 1) ? 1 : 0;
     }
     assertTrue(kept < 250, "keys kept: " + kept);
     assertEquals(1, slow.share(160));
--- a/src/test/java/beamspread/policy/JumpsTest.java
+++ b/src/test/java/beamspread/policy/JumpsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beamspread.model.Hashes;
 import beamspread.model.MembershipUpdate;
 import beamspread.model.ServerEntry;
 import java.util.ArrayList;
@@ -30,7 +31,7 @@
       servers.add(new ServerHealth(Rig.server(id), 100, Rig.settings(false, 4, true).contract()));
     }
     table.rebuild(servers, false);
-    long hash = SlotTable.hash("k");
+    long hash = Hashes.of("k");
     List<Long> want = new ArrayList<>();
     // Writes are never held for a fetch. Four balancers: a floor of 3, and 1.25 * 10 / 10 < 3.
     for (int attempt = 0; want.size() < 6; attempt++) {
--- a/src/test/java/beamspread/policy/SlotTableTest.java
+++ b/src/test/java/beamspread/policy/SlotTableTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beamspread.model.Hashes;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -20,7 +21,7 @@
     table.rebuild(servers, false);
     long[] homes = new long[20_000];
     for (int i = 0; i < homes.length; i++) {
-      homes[i] = table.owner(SlotTable.hash("key" + i), 0).id;
+      homes[i] = table.owner(Hashes.of("key" + i), 0).id;
     }
     return homes;
   }
