Processes of one node count one another's open requests

Need: clients have so many connections for one node, whichever process holds them. Change: each process shows its open requests; the module counts those elsewhere among its own, two thirds of the bound at most. Looks come every 30 ms while two processes run.

--- a/src/main/java/beamspread/model/MembershipUpdate.java
+++ b/src/main/java/beamspread/model/MembershipUpdate.java
@@ -22,6 +22,11 @@
     /** Lines that operators have changed by hand; nothing came from the list's service. */
     BY_HAND,
     /** A call for the list failed, or the subscription broke. */
-    FAILED
+    FAILED;
+
+    /** Whether the list's service has answered just now. */
+    public boolean answers() {
+      return this == CHANGES || this == FULL;
+    }
   }
 }
--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -139,11 +139,16 @@
     config = changed;
   }
 
-  /** Leaves other processes of this node the sockets to cache servers that they hold. */
-  void share(int held) {
-    if (held != heldByOthers) {
-      heldByOthers = held;
-      pools.use(config.pool().without(held));
+  /**
+   * Leaves other processes of this node what they hold: sockets to cache servers, and open
+   * requests, since clients have connections for so many together. A third stays, lest nothing be
+   * taken here.
+   */
+  void share(int sockets, int openRequests) {
+    balancer.share(Math.min(openRequests, settings.limits().maxOpen() / 3 * 2));
+    if (sockets != heldByOthers) {
+      heldByOthers = sockets;
+      pools.use(config.pool().without(sockets));
     }
   }
 
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -42,6 +42,9 @@
   /** How often this process looks at what the others of its node have done. */
   private static final long LOOK_MILLIS = 100;
 
+  /** The same while there are others. */
+  private static final long CLOSE_LOOK_MILLIS = 30;
+
   /** After the listener closes, until connections do: the loop goes round once. */
   private static final long ROUND_MILLIS = 2;
 
@@ -227,6 +230,14 @@
     return listener.localAddress();
   }
 
+  private void lookAround() {
+    operators.look();
+    loop.schedule(
+        this::lookAround,
+        operators.othersRun() ? CLOSE_LOOK_MILLIS : LOOK_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
   private OperatorCalls.Holdings holdings() {
     return new OperatorCalls.Holdings() {
       @Override
@@ -240,9 +251,9 @@
       }
 
       @Override
-      public void share(int otherClients, int otherServers) {
+      public void share(int otherClients, int otherServers, int open) {
         clients.share(otherClients);
-        dispatcher.share(otherServers);
+        dispatcher.share(otherServers, open);
       }
     };
   }
--- a/src/main/java/beamspread/node/OperatorCalls.java
+++ b/src/main/java/beamspread/node/OperatorCalls.java
@@ -23,8 +23,8 @@
     /** Sockets to cache servers that this process holds. */
     int servers();
 
-    /** The others hold so many. */
-    void share(int clients, int servers);
+    /** The others hold so many, and have so many requests open. */
+    void share(int clients, int servers, int open);
   }
 
   private final Dispatcher dispatcher;
@@ -73,7 +73,9 @@
     SharedFolder.Sight sight;
     try {
       record();
-      folder.show(new SharedFolder.Shown(phase, holdings.clients(), holdings.servers()));
+      folder.show(
+          new SharedFolder.Shown(
+              phase, holdings.clients(), holdings.servers(), dispatcher.unanswered()));
       sight = folder.look();
       unrecorded.removeAll(sight.detached());
     } catch (IOException e) {
@@ -91,7 +93,8 @@
     }
     holdings.share(
         sight.others().stream().mapToInt(SharedFolder.Shown::clients).sum(),
-        sight.others().stream().mapToInt(SharedFolder.Shown::servers).sum());
+        sight.others().stream().mapToInt(SharedFolder.Shown::servers).sum(),
+        sight.others().stream().mapToInt(SharedFolder.Shown::open).sum());
     if (phase == SharedFolder.Phase.TAKES && others > 0) {
       leaveLearnt();
     }
@@ -144,6 +147,11 @@
     }
   }
 
+  /** Whether another process of this node runs, as of the last look. */
+  boolean othersRun() {
+    return others > 0;
+  }
+
   @Override
   public boolean ready() {
     return phase == SharedFolder.Phase.TAKES;
--- a/src/main/java/beamspread/node/handover/SharedFolder.java
+++ b/src/main/java/beamspread/node/handover/SharedFolder.java
@@ -54,9 +54,10 @@
    * @param phase what it is at
    * @param clients connections of clients that it holds
    * @param servers sockets to cache servers that it holds
+   * @param open requests that it has taken and not answered
    */
-  public record Shown(Phase phase, int clients, int servers) {
-    static final int BYTES = 9;
+  public record Shown(Phase phase, int clients, int servers, int open) {
+    static final int BYTES = 13;
   }
 
   /**
@@ -114,7 +115,8 @@
   /** Shows the others what this process is at. */
   public void show(Shown now) throws IOException {
     ByteBuffer bytes = ByteBuffer.allocate(Shown.BYTES);
-    bytes.put((byte) now.phase().ordinal()).putInt(now.clients()).putInt(now.servers()).flip();
+    bytes.put((byte) now.phase().ordinal()).putInt(now.clients()).putInt(now.servers());
+    bytes.putInt(now.open()).flip();
     channel.write(bytes, 0);
   }
 
@@ -162,10 +164,10 @@
       }
       ByteBuffer bytes = ByteBuffer.allocate(Shown.BYTES);
       if (other.read(bytes, 0) < Shown.BYTES || bytes.get(0) >= Phase.values().length) {
-        return new Shown(Phase.STARTS, 0, 0);
+        return new Shown(Phase.STARTS, 0, 0, 0);
       }
       bytes.flip();
-      return new Shown(Phase.values()[bytes.get()], bytes.getInt(), bytes.getInt());
+      return new Shown(Phase.values()[bytes.get()], bytes.getInt(), bytes.getInt(), bytes.getInt());
     } catch (NoSuchFileException e) {
       return null;
     }
--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -74,6 +74,7 @@
   private double usualStrain;
   private boolean fewFailing;
   private int inFlight;
+  private int openElsewhere;
   private long serials;
   private double retryTokens = RETRY_BURST;
   private double warmRate;
@@ -145,7 +146,9 @@
     // their own, and one for each server is always fair.
     int busy = inFlight - guard.fetches;
     boolean hopeless = busy > ready.size() && busy > answerRate * type.aim();
-    if (hopeless || pending.size() > settings.limits().maxOpen() || !dispatch(now, p)) {
+    if (hopeless
+        || pending.size() + openElsewhere > settings.limits().maxOpen()
+        || !dispatch(now, p)) {
       giveUp(p);
     }
   }
@@ -529,6 +532,11 @@
     answer(p);
   }
 
+  /** Another process of this instance has so many requests open: they count here as well. */
+  public void share(int open) {
+    openElsewhere = open;
+  }
+
   /** What a successor had better know from the start. */
   public Learnt learnt(double now) {
     Map<Long, Double> shares = new HashMap<>();
--- a/src/main/java/beamspread/policy/MembershipFeed.java
+++ b/src/main/java/beamspread/policy/MembershipFeed.java
@@ -48,30 +48,23 @@
           put(now, entry);
         }
         servers.keySet().removeAll(old.keySet());
-        answered(update.kind());
       }
       case CHANGES, BY_HAND -> {
         for (ServerEntry entry : update.entries()) {
           put(now, entry);
         }
-        answered(update.kind());
       }
     }
-    if (!launched) {
-      launched = true;
-      if (settings.asksForList()) {
-        // Restarted balancers start together: spread their first calls by a little.
-        callIn(now, Math.min(0.02 * settings.instances(), 0.5) * random.nextDouble());
-      }
-    }
-  }
-
-  private void answered(MembershipUpdate.Kind kind) {
-    if (kind == MembershipUpdate.Kind.FULL || kind == MembershipUpdate.Kind.CHANGES) {
+    if (update.kind().answers()) {
       subscribed = true;
       failures = 0;
       callAt = Double.POSITIVE_INFINITY;
     }
+    if (!launched && settings.asksForList()) {
+      // Restarted balancers start together: spread their first calls by a little.
+      callIn(now, Math.min(0.02 * settings.instances(), 0.5) * random.nextDouble());
+    }
+    launched = true;
   }
 
   private void put(double now, ServerEntry entry) {
--- a/src/test/java/beamspread/node/handover/SharedFolderTest.java
+++ b/src/test/java/beamspread/node/handover/SharedFolderTest.java
@@ -18,7 +18,7 @@
 /** What processes of one node see of one another, also of one that was killed. */
 class SharedFolderTest {
   private static final SharedFolder.Shown STARTS =
-      new SharedFolder.Shown(SharedFolder.Phase.STARTS, 0, 0);
+      new SharedFolder.Shown(SharedFolder.Phase.STARTS, 0, 0, 0);
 
   @TempDir Path temporary;
 
@@ -31,11 +31,11 @@
       old.detach(-7);
       try (SharedFolder young = SharedFolder.open(folder)) {
         assertThat(young.look()).isEqualTo(new SharedFolder.Sight(Set.of(-7L), List.of(STARTS)));
-        SharedFolder.Shown takes = new SharedFolder.Shown(SharedFolder.Phase.TAKES, 7, 300);
+        SharedFolder.Shown takes = new SharedFolder.Shown(SharedFolder.Phase.TAKES, 7, 300, 5);
         young.show(takes);
         assertThat(old.look()).isEqualTo(new SharedFolder.Sight(Set.of(-7L), List.of(takes)));
         assertThat(old.look().othersTake()).isTrue();
-        young.show(new SharedFolder.Shown(SharedFolder.Phase.ENDS, 7, 300));
+        young.show(new SharedFolder.Shown(SharedFolder.Phase.ENDS, 7, 300, 5));
         assertThat(old.look().othersTake()).isFalse();
         young.detach(8);
         young.attach(-7);
