--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -127,6 +127,7 @@
     return new NodeStatus(
         configuration,
         listener.localAddress().toString().replace("/", ""),
+        mgmt == null ? null : mgmt.address().toString().replace("/", ""),
         dispatcher.openRequests(),
         clients.count(),
         dispatcher.pools().sockets(),
@@ -222,7 +223,13 @@
           management.token() == null ? null : management.token().getBytes(StandardCharsets.UTF_8);
       mgmt =
           MgmtServer.open(
-              loop, transport.server(), allocator, management.listen(), token, operators);
+              loop,
+              transport.server(),
+              allocator,
+              management.listen(),
+              token,
+              MgmtServer.PATIENCE_MILLIS,
+              operators);
       loop.execute(() -> operators.takes(true));
       loop.scheduleWithFixedDelay(operators::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/src/main/java/beamspread/node/NodeStatus.java
+++ b/src/main/java/beamspread/node/NodeStatus.java
@@ -13,6 +13,7 @@
  *
  * @param configuration how the readings of the configuration fared
  * @param listen where clients connect
+ * @param mgmt where operators call, null for nowhere
  * @param openRequests requests taken and not answered
  * @param clientConnections connections of clients
  * @param serverConnections sockets to cache servers: open, coming up, or being given up
@@ -24,6 +25,7 @@
 record NodeStatus(
     Configuration configuration,
     String listen,
+    String mgmt,
     int openRequests,
     int clientConnections,
     int serverConnections,
@@ -70,6 +72,7 @@
       json.writeStartObject();
       json.writeNumberField("pid", ProcessHandle.current().pid());
       json.writeStringField("listen", listen);
+      json.writeStringField("mgmt", mgmt);
       json.writeNumberField("generation", configuration.generation());
       json.writeStringField("digest", configuration.digest());
       json.writeNumberField("readings", configuration.readings());
--- a/src/main/java/beamspread/node/mgmt/MgmtServer.java
+++ b/src/main/java/beamspread/node/mgmt/MgmtServer.java
@@ -26,9 +26,12 @@
   /** Connections at a time, and descriptors that a node keeps for them. */
   public static final int CONNECTIONS = 16;
 
-  private static final long PATIENCE_MILLIS = 3000;
+  /** How long a caller may take over a call. */
+  public static final long PATIENCE_MILLIS = 3000;
+
   private static final int LONGEST_BODY = 4096;
 
+  private final long patienceMillis;
   private final Channel listener;
   private final LinkedHashSet<Channel> open = new LinkedHashSet<>();
 
@@ -38,8 +41,10 @@
       ByteBufAllocator allocator,
       SocketAddress address,
       byte[] token,
+      long patienceMillis,
       MgmtCalls calls)
       throws IOException, InterruptedException {
+    this.patienceMillis = patienceMillis;
     var bound =
         sockets
             .group(loop)
@@ -70,6 +75,7 @@
    *
    * @param sockets what listening sockets are made of
    * @param token what callers must name to change anything, null for nothing
+   * @param patienceMillis how long a caller may take over a call
    * @throws IOException if the address can't be listened on
    */
   public static MgmtServer open(
@@ -78,9 +84,10 @@
       ByteBufAllocator allocator,
       SocketAddress address,
       byte[] token,
+      long patienceMillis,
       MgmtCalls calls)
       throws IOException, InterruptedException {
-    return new MgmtServer(loop, sockets, allocator, address, token, calls);
+    return new MgmtServer(loop, sockets, allocator, address, token, patienceMillis, calls);
   }
 
   private void accept(Channel channel) {
@@ -92,7 +99,7 @@
     }
     open.add(channel);
     channel.closeFuture().addListener(closed -> open.remove(channel));
-    channel.eventLoop().schedule(() -> channel.close(), PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+    channel.eventLoop().schedule(() -> channel.close(), patienceMillis, TimeUnit.MILLISECONDS);
   }
 
   /** Makes a call whole; one that is too long is told so by the handler behind. */
