--- a/src/test/java/beamspread/policy/JamTest.java
+++ b/src/test/java/beamspread/policy/JamTest.java
@@ -117,4 +117,22 @@
       assertThat(balancer.learnt(111).shares().get(1L) < 1).isEqualTo(inherits);
     }
   }
+
+  @Test
+  void whatOperatorsSayIsNoAnswerOfTheListsService() {
+    Rig.Recorder acts = new Rig.Recorder();
+    Balancer asking = new Balancer(Rig.settings(true, 4, true), 1, acts);
+    asking.membership(100, Rig.fleet(2));
+    asking.membership(101, Rig.list(MembershipUpdate.Kind.FAILED, List.of()));
+    double due = 101 + acts.of("wake").get(acts.of("wake").size() - 1).value();
+    asking.membership(
+        101.01,
+        Rig.list(
+            MembershipUpdate.Kind.BY_HAND, List.of(Rig.server(1, ServerEntry.State.DRAINING, 0))));
+    acts.acts.clear();
+    asking.timer(due, Balancer.FEED_TOKEN);
+    assertThat(acts.of("subscribe")).as("the list is still asked for").hasSize(1);
+    ask(asking, due, "r");
+    assertThat(acts.of("send")).extracting(Rig.Act::number).containsExactly(2L);
+  }
 }
