--- a/src/test/java/beamspread/node/NodeProcessTest.java
+++ b/src/test/java/beamspread/node/NodeProcessTest.java
@@ -10,11 +10,6 @@
 import beamspread.sim.WireException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.StandardProtocolFamily;
-import java.net.UnixDomainSocketAddress;
-import java.nio.channels.Channels;
-import java.nio.channels.SocketChannel;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -27,59 +22,28 @@
 /** A node as its own process, under signals. */
 class NodeProcessTest {
   @TempDir Path folder;
+  private ServeProcess node;
   private Path config;
-  private Path log;
   private InetSocketAddress listen;
 
   @BeforeEach
   void nameFiles() {
-    config = folder.resolve("config.json");
-    log = folder.resolve("log");
+    node = new ServeProcess(folder, "node");
+    config = node.config;
   }
 
   private void configure(Peers.Server discovery, Peers.Server server) throws IOException {
-    Files.writeString(
-        config,
-        """
-        {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"1f",
-         "status_socket":"%s",
-         "limits":{"cores":1,"memory_mb":64,"sockets":256},"known":%s,
-         "settings":{"zone":"a","azs":["a"],"kinds":["box"],"instances":1,"discovery":"ask",
-          "caps":{"attempts-cap":6,"cancel":true,"connect-timeout":1,"conn-idle":60,"multiplex":32,
-           "parallel-tries":true},
-          "contract":{"ask-within":10,"drain-grace":2,"warm-within":10,"cold-from":0.5,
-           "overload-factor":3,"overload-for":2},
-          "services":[{"name":"read","slo":1,"give-up":2,"effect":"retryable"},
-           {"name":"put","slo":1,"give-up":2,"effect":"fragile"}]}}
-        """
-            .formatted(
-                discovery.address().getPort(), folder.resolve("status"), Peers.list(40, server)));
+    node.configure("127.0.0.1:0", "", discovery, server);
   }
 
   private Process start() throws IOException, InterruptedException {
-    Process process = launch();
+    Process process = node.launch();
     Peers.await("the node listens", () -> hello(process));
     return process;
   }
 
-  private Process launch() throws IOException {
-    ProcessBuilder builder =
-        new ProcessBuilder(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-cp",
-            System.getProperty("java.class.path"),
-            "beamspread.Main",
-            "serve");
-    builder.environment().put("ROUTER_CONFIG", config.toString());
-    return builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
-  }
-
   private Message status() throws IOException, WireException {
-    try (SocketChannel channel = SocketChannel.open(StandardProtocolFamily.UNIX)) {
-      channel.connect(UnixDomainSocketAddress.of(folder.resolve("status")));
-      return Message.parse(
-          new String(Channels.newInputStream(channel).readAllBytes(), StandardCharsets.ISO_8859_1));
-    }
+    return node.status();
   }
 
   private boolean status(Predicate<Message> holds) {
@@ -110,11 +74,7 @@
   }
 
   private boolean logged(String text) {
-    try {
-      return Files.readString(log).contains(text);
-    } catch (IOException e) {
-      return false;
-    }
+    return node.logged(text);
   }
 
   private static boolean watched(Peers.Server discovery, String end) {
@@ -176,10 +136,10 @@
       Files.writeString(
           config,
           whole.replace("\"contract\"", "\"compact\"").replace("\"give-up\":2", "\"give-up\":0"));
-      Process process = launch();
+      Process process = node.launch();
       assertTrue(process.waitFor(20, TimeUnit.SECONDS));
       assertEquals(2, process.exitValue());
-      String told = Files.readString(log);
+      String told = Files.readString(node.log);
       for (String fault :
           List.of(
               "contract.ask-within is missing",
@@ -197,10 +157,10 @@
         Peers.Server discovery = Peers.discovery(41, server)) {
       configure(discovery, server);
       start().destroyForcibly().waitFor();
-      assertTrue(Files.exists(folder.resolve("status")));
+      assertTrue(Files.exists(folder.resolve("node.sock")));
       Process second = start();
       try {
-        Process third = launch();
+        Process third = node.launch();
         assertTrue(third.waitFor(20, TimeUnit.SECONDS));
         assertEquals(1, third.exitValue());
         assertTrue(logged("another process listens there"));
@@ -278,7 +238,7 @@
           assertNull(client.line());
         }
         assertTrue(process.waitFor(20, TimeUnit.SECONDS));
-        assertFalse(Files.exists(folder.resolve("status")));
+        assertFalse(Files.exists(folder.resolve("node.sock")));
       } finally {
         process.destroyForcibly().waitFor();
       }
--- /dev/null
+++ b/src/test/java/beamspread/node/ServeProcess.java
@@ -0,0 +1,82 @@
+package beamspread.node;
+
+import beamspread.sim.Message;
+import beamspread.sim.WireException;
+import java.io.IOException;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.channels.Channels;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** A node as its own process: its configuration, its start, and what it tells of itself. */
+final class ServeProcess {
+  final Path config;
+  final Path log;
+  private final Path folder;
+  private final Path status;
+
+  /** Files of this name in a folder of the test's. */
+  ServeProcess(Path folder, String name) {
+    this.folder = folder;
+    config = folder.resolve(name + ".json");
+    log = folder.resolve(name + ".log");
+    status = folder.resolve(name + ".sock");
+  }
+
+  /**
+   * Writes its configuration.
+   *
+   * @param more further fields, each with a comma behind it
+   */
+  void configure(String listen, String more, Peers.Server discovery, Peers.Server server)
+      throws IOException {
+    Files.writeString(
+        config,
+        """
+        {"name":"n0","listen":"%s","discovery":"127.0.0.1:%d","seed":"1f",
+         "status_socket":"%s",%s
+         "limits":{"cores":1,"memory_mb":64,"sockets":256},"known":%s,
+         "settings":{"zone":"a","azs":["a"],"kinds":["box"],"instances":1,"discovery":"ask",
+          "caps":{"attempts-cap":6,"cancel":true,"connect-timeout":1,"conn-idle":60,"multiplex":32,
+           "parallel-tries":true},
+          "contract":{"ask-within":10,"drain-grace":2,"warm-within":10,"cold-from":0.5,
+           "overload-factor":3,"overload-for":2},
+          "services":[{"name":"read","slo":1,"give-up":2,"effect":"retryable"},
+           {"name":"put","slo":1,"give-up":2,"effect":"fragile"}]}}
+        """
+            .formatted(
+                listen, discovery.address().getPort(), status, more, Peers.list(40, server)));
+  }
+
+  Process launch() throws IOException {
+    ProcessBuilder builder =
+        new ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-cp",
+            System.getProperty("java.class.path"),
+            "beamspread.Main",
+            "serve");
+    builder.environment().put("ROUTER_CONFIG", config.toString());
+    builder.environment().put("TMPDIR", folder.toString());
+    return builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+  }
+
+  Message status() throws IOException, WireException {
+    try (SocketChannel channel = SocketChannel.open(StandardProtocolFamily.UNIX)) {
+      channel.connect(UnixDomainSocketAddress.of(status));
+      return Message.parse(
+          new String(Channels.newInputStream(channel).readAllBytes(), StandardCharsets.UTF_8));
+    }
+  }
+
+  boolean logged(String text) {
+    try {
+      return Files.readString(log).contains(text);
+    } catch (IOException e) {
+      return false;
+    }
+  }
+}
--- a/src/test/java/beamspread/node/UpgradeTest.java
+++ b/src/test/java/beamspread/node/UpgradeTest.java
@@ -2,16 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import beamspread.sim.Message;
 import beamspread.sim.WireException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.StandardProtocolFamily;
-import java.net.UnixDomainSocketAddress;
-import java.nio.channels.Channels;
-import java.nio.channels.SocketChannel;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -26,49 +19,14 @@
 
   @TempDir Path folder;
 
-  private Process launch(String name, String listen, Peers.Server discovery, Peers.Server server)
-      throws IOException {
-    Path config = folder.resolve(name + ".json");
-    Files.writeString(
-        config,
-        """
-        {"name":"n0","listen":"%s","discovery":"127.0.0.1:%d","seed":"1f",
-         "status_socket":"%s","mgmt":"127.0.0.1:0",
-         "limits":{"cores":1,"memory_mb":64,"sockets":256},"known":%s,
-         "settings":{"zone":"a","azs":["a"],"kinds":["box"],"instances":1,"discovery":"ask",
-          "caps":{"attempts-cap":6,"cancel":true,"connect-timeout":1,"conn-idle":60,"multiplex":32,
-           "parallel-tries":true},
-          "contract":{"ask-within":10,"drain-grace":2,"warm-within":10,"cold-from":0.5,
-           "overload-factor":3,"overload-for":2},
-          "services":[{"name":"read","slo":1,"give-up":2,"effect":"retryable"},
-           {"name":"put","slo":1,"give-up":2,"effect":"fragile"}]}}
-        """
-            .formatted(
-                listen,
-                discovery.address().getPort(),
-                folder.resolve(name + ".sock"),
-                Peers.list(40, server)));
-    ProcessBuilder builder =
-        new ProcessBuilder(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-cp",
-            System.getProperty("java.class.path"),
-            "beamspread.Main",
-            "serve");
-    builder.environment().put("ROUTER_CONFIG", config.toString());
-    builder.environment().put("TMPDIR", folder.toString());
-    return builder
-        .redirectErrorStream(true)
-        .redirectOutput(folder.resolve(name + ".log").toFile())
-        .start();
+  private ServeProcess node(String name) {
+    return new ServeProcess(folder, name);
   }
 
-  private Message status(String name) throws IOException, WireException {
-    try (SocketChannel channel = SocketChannel.open(StandardProtocolFamily.UNIX)) {
-      channel.connect(UnixDomainSocketAddress.of(folder.resolve(name + ".sock")));
-      return Message.parse(
-          new String(Channels.newInputStream(channel).readAllBytes(), StandardCharsets.UTF_8));
-    }
+  private Process launch(String name, String listen, Peers.Server discovery, Peers.Server server)
+      throws IOException {
+    node(name).configure(listen, "\"mgmt\":\"127.0.0.1:0\",", discovery, server);
+    return node(name).launch();
   }
 
   private Calls ready(String name) throws InterruptedException {
@@ -77,7 +35,7 @@
         name + " says yes",
         () -> {
           try {
-            String[] at = status(name).requiredText("mgmt").split(":");
+            String[] at = node(name).status().requiredText("mgmt").split(":");
             calls[0] = new Calls(new InetSocketAddress(at[0], Integer.parseInt(at[1])));
             return calls[0].get("/_ready").status() == 200;
           } catch (IOException | WireException e) {
@@ -87,11 +45,11 @@
     return calls[0];
   }
 
-  private String log(String name) {
-    try {
-      return Files.readString(folder.resolve(name + ".log"));
-    } catch (IOException e) {
-      return "";
+  private static void end(Process... processes) throws InterruptedException {
+    for (Process process : processes) {
+      if (process != null) {
+        process.destroyForcibly().waitFor();
+      }
     }
   }
 
@@ -112,7 +70,7 @@
         Peers.Server discovery = Peers.discovery(41, server)) {
       old = launch("old", "127.0.0.1:0", discovery, server);
       ready("old");
-      String listen = status("old").requiredText("listen");
+      String listen = node("old").status().requiredText("listen");
       String[] at = listen.split(":");
       InetSocketAddress node = new InetSocketAddress(at[0], Integer.parseInt(at[1]));
       AtomicBoolean stop = new AtomicBoolean();
@@ -133,7 +91,8 @@
             () -> served.get() > 50 && System.nanoTime() - began > 2_500_000_000L);
         young = launch("young", listen, discovery, server);
         Calls youngCalls = ready("young");
-        assertThat(log("young")).contains("goes on with what the process before has learnt");
+        assertThat(node("young").logged("goes on with what the process before has learnt"))
+            .isTrue();
         int before = served.get();
         old.destroy();
         // What was sent on a connection that is kept is answered as long as it is open.
@@ -149,11 +108,7 @@
       assertThat(failed.get()).isLessThanOrEqualTo(CROSSINGS);
       assertThat(old.exitValue()).isIn(0, 143);
     } finally {
-      for (Process process : new Process[] {old, young}) {
-        if (process != null) {
-          process.destroyForcibly().waitFor();
-        }
-      }
+      end(old, young);
     }
   }
 
@@ -174,11 +129,7 @@
       assertThat(calls.attach(id).status()).isEqualTo(200);
       assertThat(calls.get("/_vars").body().number("targets_disabled", 1)).isZero();
     } finally {
-      for (Process process : new Process[] {old, young}) {
-        if (process != null) {
-          process.destroyForcibly().waitFor();
-        }
-      }
+      end(old, young);
     }
   }
 }
