A test of drains sets its server's script before the answers that race with it

Need: in one full run the read behind an open request reached the stand-in before it had been told to answer, and was refused after its 400 ms; alone the test passed three times of three. Change: the script is set first; every assertion stays.

--- a/src/test/java/beamspread/node/ClosesTest.java
+++ b/src/test/java/beamspread/node/ClosesTest.java
@@ -229,10 +229,11 @@
       Peers.await("the drain has begun", () -> rig.node.drainsClients());
       client.send("mg key-3 v O3 Pc=read,d=400\r\n");
       late.send("mg key-4 v O4 Pc=read,d=60000\r\n");
+      // First: the answers let the next request out at once.
+      server.script = Peers::good;
       for (String line : List.copyOf(server.lines)) {
         server.send(line, Peers.good(line));
       }
-      server.script = Peers::good;
       assertEquals("VA 5 O1", client.line());
       assertEquals("hello", client.line());
       assertEquals("VA 5 O3", client.line());
