Read once more: one way to listen, one writer of JSON, dead code of the shared folder out

Change: loop.Listener serves the agent, the stand-ins, the status socket and the second address; node.wire.Json the log, the status, the note to a successor and the answers to operators, which have one way to say no; MgmtServer has one constructor. A drain looks at the other processes once, not twice. What is not yet on record is only tried again: the guard beside it could never matter. Node.lookAround and its constant are out: nothing called them. Behaviour stays.

--- a/src/main/java/beamspread/agent/AgentServer.java
+++ b/src/main/java/beamspread/agent/AgentServer.java
@@ -2,6 +2,7 @@
 
 import beamspread.fleet.api.Api;
 import beamspread.fleet.api.Json;
+import beamspread.loop.Listener;
 import beamspread.loop.SocketLook;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -10,7 +11,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
@@ -89,29 +89,12 @@
 
   /** Listens; returns the URL. */
   String listen(AgentConfig.Api config) throws IOException, InterruptedException {
-    var bound =
-        new ServerBootstrap()
-            .group(loop)
-            .channel(NioServerSocketChannel.class)
-            .childHandler(
-                new ChannelInitializer<>() {
-                  @Override
-                  protected void initChannel(Channel channel) {
-                    accept(channel);
-                  }
-                })
-            .bind(config.host(), config.port())
-            .await();
-    if (!bound.isSuccess()) {
-      throw new IOException(
-          "cannot listen on "
-              + config.host()
-              + ":"
-              + config.port()
-              + ": "
-              + bound.cause().getMessage());
-    }
-    listener = bound.channel();
+    listener =
+        Listener.open(
+            new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class),
+            new InetSocketAddress(config.host(), config.port()),
+            "cannot listen on " + config.host() + ":" + config.port(),
+            this::accept);
     int port = ((InetSocketAddress) listener.localAddress()).getPort();
     return (tls == null ? "http://" : "https://") + config.host() + ":" + port;
   }
--- a/src/main/java/beamspread/loop/package-info.java
+++ b/src/main/java/beamspread/loop/package-info.java
@@ -1,2 +1,2 @@
-/** An event loop: how long its turns take, and a look at one socket between two of them. */
+/** An event loop: how long its turns take, a look at one socket between two, and how it listens. */
 package beamspread.loop;
--- a/src/main/java/beamspread/node/Log.java
+++ b/src/main/java/beamspread/node/Log.java
@@ -1,10 +1,6 @@
 package beamspread.node;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-import java.io.IOException;
-import java.io.StringWriter;
-import java.io.UncheckedIOException;
+import beamspread.node.wire.Json;
 import java.time.Instant;
 
 /**
@@ -14,10 +10,6 @@
 final class Log {
   private static final int LINES_A_SECOND = 10;
 
-  private static final class Factory {
-    static final JsonFactory JSON = new JsonFactory();
-  }
-
   private final String node;
   private final boolean json;
   private long second;
@@ -58,18 +50,13 @@
   }
 
   private String object(String level, String text) {
-    StringWriter line = new StringWriter();
-    try (JsonGenerator out = Factory.JSON.createGenerator(line)) {
-      out.writeStartObject();
-      out.writeStringField("time", Instant.now().toString());
-      out.writeStringField("level", level);
-      out.writeStringField("logger", "node");
-      out.writeStringField("instance", node);
-      out.writeStringField("message", text);
-      out.writeEndObject();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-    return line.toString();
+    return Json.object(
+        out -> {
+          out.writeStringField("time", Instant.now().toString());
+          out.writeStringField("level", level);
+          out.writeStringField("logger", "node");
+          out.writeStringField("instance", node);
+          out.writeStringField("message", text);
+        });
   }
 }
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -42,9 +42,6 @@
   /** How often this process looks at what the others of its node have done. */
   private static final long LOOK_MILLIS = 100;
 
-  /** The same while there are others. */
-  private static final long CLOSE_LOOK_MILLIS = 30;
-
   /** After the listener closes, until connections do: the loop goes round once. */
   private static final long ROUND_MILLIS = 2;
 
@@ -222,7 +219,7 @@
       byte[] token =
           management.token() == null ? null : management.token().getBytes(StandardCharsets.UTF_8);
       mgmt =
-          MgmtServer.open(
+          new MgmtServer(
               loop,
               transport.server(),
               allocator,
@@ -237,14 +234,6 @@
     return listener.localAddress();
   }
 
-  private void lookAround() {
-    operators.look();
-    loop.schedule(
-        this::lookAround,
-        operators.othersRun() ? CLOSE_LOOK_MILLIS : LOOK_MILLIS,
-        TimeUnit.MILLISECONDS);
-  }
-
   private OperatorCalls.Holdings holdings() {
     return new OperatorCalls.Holdings() {
       @Override
@@ -355,7 +344,6 @@
     boolean successor = false;
     if (operators != null) {
       operators.takes(false);
-      operators.look();
       successor = operators.othersTake();
     }
     // Where another process listens here, whoever comes back had better come to that one.
--- a/src/main/java/beamspread/node/NodeStatus.java
+++ b/src/main/java/beamspread/node/NodeStatus.java
@@ -1,11 +1,7 @@
 package beamspread.node;
 
 import beamspread.model.ServerEntry;
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-import java.io.IOException;
-import java.io.StringWriter;
-import java.io.UncheckedIOException;
+import beamspread.node.wire.Json;
 import java.util.Map;
 
 /**
@@ -64,35 +60,29 @@
     }
   }
 
-  private static final JsonFactory FACTORY = new JsonFactory();
-
   String json() {
-    StringWriter text = new StringWriter();
-    try (JsonGenerator json = FACTORY.createGenerator(text)) {
-      json.writeStartObject();
-      json.writeNumberField("pid", ProcessHandle.current().pid());
-      json.writeStringField("listen", listen);
-      json.writeStringField("mgmt", mgmt);
-      json.writeNumberField("generation", configuration.generation());
-      json.writeStringField("digest", configuration.digest());
-      json.writeNumberField("readings", configuration.readings());
-      json.writeStringField("tried_digest", configuration.triedDigest());
-      json.writeStringField("refusal", configuration.refusal());
-      json.writeBooleanField("needs_restart", configuration.needsRestart());
-      json.writeNumberField("open_requests", openRequests);
-      json.writeNumberField("client_connections", clientConnections);
-      json.writeNumberField("server_connections", serverConnections);
-      json.writeObjectFieldStart("servers");
-      json.writeNumberField("active", servers.getOrDefault(ServerEntry.State.READY, 0));
-      json.writeNumberField("leaving", servers.getOrDefault(ServerEntry.State.DRAINING, 0));
-      json.writeEndObject();
-      json.writeBooleanField("draining", draining);
-      json.writeNumberField("longest_turn_ms", longestTurnMs);
-      json.writeNumberField("pauses", pauses);
-      json.writeEndObject();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-    return text.append('\n').toString();
+    return Json.object(
+            json -> {
+              json.writeNumberField("pid", ProcessHandle.current().pid());
+              json.writeStringField("listen", listen);
+              json.writeStringField("mgmt", mgmt);
+              json.writeNumberField("generation", configuration.generation());
+              json.writeStringField("digest", configuration.digest());
+              json.writeNumberField("readings", configuration.readings());
+              json.writeStringField("tried_digest", configuration.triedDigest());
+              json.writeStringField("refusal", configuration.refusal());
+              json.writeBooleanField("needs_restart", configuration.needsRestart());
+              json.writeNumberField("open_requests", openRequests);
+              json.writeNumberField("client_connections", clientConnections);
+              json.writeNumberField("server_connections", serverConnections);
+              json.writeObjectFieldStart("servers");
+              json.writeNumberField("active", servers.getOrDefault(ServerEntry.State.READY, 0));
+              json.writeNumberField("leaving", servers.getOrDefault(ServerEntry.State.DRAINING, 0));
+              json.writeEndObject();
+              json.writeBooleanField("draining", draining);
+              json.writeNumberField("longest_turn_ms", longestTurnMs);
+              json.writeNumberField("pauses", pauses);
+            })
+        + "\n";
   }
 }
--- a/src/main/java/beamspread/node/OperatorCalls.java
+++ b/src/main/java/beamspread/node/OperatorCalls.java
@@ -3,8 +3,8 @@
 import beamspread.maintenance.Detachments;
 import beamspread.maintenance.Figures;
 import beamspread.node.handover.SharedFolder;
-import beamspread.node.mgmt.Json;
 import beamspread.node.mgmt.MgmtCalls;
+import beamspread.node.wire.Json;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
 import java.util.HashSet;
@@ -54,7 +54,7 @@
     this.holdings = holdings;
   }
 
-  /** This process takes clients from now on, or no more. */
+  /** This process takes clients from now on, or no more; looks at the others, too. */
   void takes(boolean now) {
     phase = now ? SharedFolder.Phase.TAKES : SharedFolder.Phase.ENDS;
     look();
@@ -77,7 +77,6 @@
           new SharedFolder.Shown(
               phase, holdings.clients(), holdings.servers(), dispatcher.unanswered()));
       sight = folder.look();
-      unrecorded.removeAll(sight.detached());
     } catch (IOException e) {
       if (!troubled) {
         log.failure("shared folder", e);
@@ -106,7 +105,7 @@
       }
     }
     for (long server : here) {
-      if (!sight.detached().contains(server) && !unrecorded.contains(server)) {
+      if (!sight.detached().contains(server)) {
         dispatcher.targets().attach(server);
       }
     }
@@ -140,18 +139,14 @@
     }
   }
 
-  /** Puts on record what could not be so far. */
+  /** Puts on record what could not be so far, or fails: no look may take it for put back. */
   private void record() throws IOException {
     for (long server : Set.copyOf(unrecorded)) {
       folder.detach(server);
+      unrecorded.remove(server);
     }
   }
 
-  /** Whether another process of this node runs, as of the last look. */
-  boolean othersRun() {
-    return others > 0;
-  }
-
   @Override
   public boolean ready() {
     return phase == SharedFolder.Phase.TAKES;
@@ -187,7 +182,7 @@
       return unknown(id);
     }
     if (!detachments.hasRoom() && !detachments.isDetached(server)) {
-      return no(
+      return Answer.no(
           HttpResponseStatus.CONFLICT, Detachments.MOST + " cache servers are out: attach some");
     }
     // First here, so that it holds at once whatever becomes of the record.
@@ -198,7 +193,7 @@
         folder.detach(server);
       } catch (IOException e) {
         unrecorded.add(server);
-        return no(
+        return Answer.no(
             HttpResponseStatus.INTERNAL_SERVER_ERROR,
             "out in this process, not on record for another: " + e.getMessage());
       }
@@ -217,7 +212,7 @@
         folder.attach(server);
       } catch (IOException e) {
         // Still on record as out: if it were used here, the next look would take it out again.
-        return no(
+        return Answer.no(
             HttpResponseStatus.INTERNAL_SERVER_ERROR, "still out, on record: " + e.getMessage());
       }
     }
@@ -228,7 +223,7 @@
   }
 
   private static Answer unknown(String id) {
-    return no(HttpResponseStatus.NOT_FOUND, "no cache server '" + id + "' was ever listed");
+    return Answer.no(HttpResponseStatus.NOT_FOUND, "no cache server '" + id + "' was ever listed");
   }
 
   private static Answer yes(String id, boolean used) {
@@ -240,8 +235,4 @@
               json.writeBooleanField("in_use", used);
             }));
   }
-
-  private static Answer no(HttpResponseStatus status, String why) {
-    return new Answer(status, Json.object("error", why));
-  }
 }
--- a/src/main/java/beamspread/node/StatusSocket.java
+++ b/src/main/java/beamspread/node/StatusSocket.java
@@ -1,11 +1,11 @@
 package beamspread.node;
 
+import beamspread.loop.Listener;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.net.StandardProtocolFamily;
@@ -34,24 +34,14 @@
       throws IOException, InterruptedException {
     Path file = Path.of(name);
     clear(file);
-    var bound =
-        Transport.DOMAIN
-            .server()
-            .group(loop)
-            .childHandler(
-                new ChannelInitializer<>() {
-                  @Override
-                  protected void initChannel(Channel connection) {
-                    connection.pipeline().addLast(new Teller(status));
-                  }
-                })
-            .bind(UnixDomainSocketAddress.of(file))
-            .await();
-    if (!bound.isSuccess()) {
-      throw new IOException("status socket " + name + ": " + bound.cause().getMessage());
-    }
+    Channel listener =
+        Listener.open(
+            Transport.DOMAIN.server().group(loop),
+            UnixDomainSocketAddress.of(file),
+            "status socket " + name,
+            connection -> connection.pipeline().addLast(new Teller(status)));
     Files.setPosixFilePermissions(file, PosixFilePermissions.fromString("rw-------"));
-    return new StatusSocket(file, bound.channel());
+    return new StatusSocket(file, listener);
   }
 
   private static void clear(Path file) throws IOException {
--- a/src/main/java/beamspread/node/handover/LearntNote.java
+++ b/src/main/java/beamspread/node/handover/LearntNote.java
@@ -1,13 +1,9 @@
 package beamspread.node.handover;
 
 import beamspread.model.Learnt;
+import beamspread.node.wire.Json;
 import beamspread.sim.Message;
 import beamspread.sim.WireException;
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
@@ -20,8 +16,6 @@
   /** A note tells of the load of now: this many seconds on it tells nothing any more. */
   public static final double FRESH_SECONDS = 5;
 
-  private static final JsonFactory FACTORY = new JsonFactory();
-
   private LearntNote() {}
 
   /**
@@ -34,24 +28,20 @@
     if (!rate(learnt.warmRate()) || !rate(learnt.answerRate()) || !rate(learnt.requestRate())) {
       return null;
     }
-    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-    try (JsonGenerator json = FACTORY.createGenerator(bytes)) {
-      json.writeStartObject();
-      json.writeNumberField("version", 1);
-      json.writeNumberField("at", at);
-      json.writeNumberField("warm_rate", learnt.warmRate());
-      json.writeNumberField("answer_rate", learnt.answerRate());
-      json.writeNumberField("request_rate", learnt.requestRate());
-      json.writeObjectFieldStart("shares");
-      for (Map.Entry<Long, Double> share : learnt.shares().entrySet()) {
-        json.writeNumberField(Long.toHexString(share.getKey()), share.getValue());
-      }
-      json.writeEndObject();
-      json.writeEndObject();
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-    return bytes.toByteArray();
+    return Json.object(
+            json -> {
+              json.writeNumberField("version", 1);
+              json.writeNumberField("at", at);
+              json.writeNumberField("warm_rate", learnt.warmRate());
+              json.writeNumberField("answer_rate", learnt.answerRate());
+              json.writeNumberField("request_rate", learnt.requestRate());
+              json.writeObjectFieldStart("shares");
+              for (Map.Entry<Long, Double> share : learnt.shares().entrySet()) {
+                json.writeNumberField(Long.toHexString(share.getKey()), share.getValue());
+              }
+              json.writeEndObject();
+            })
+        .getBytes(StandardCharsets.UTF_8);
   }
 
   private static boolean rate(double value) {
--- a/src/main/java/beamspread/node/mgmt/MgmtCalls.java
+++ b/src/main/java/beamspread/node/mgmt/MgmtCalls.java
@@ -1,5 +1,6 @@
 package beamspread.node.mgmt;
 
+import beamspread.node.wire.Json;
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 /** What operators can ask of a node. All of it runs on the event loop. */
@@ -10,7 +11,12 @@
    * @param status 2xx for yes, 4xx or 5xx for no
    * @param json the body, one JSON object
    */
-  record Answer(HttpResponseStatus status, String json) {}
+  record Answer(HttpResponseStatus status, String json) {
+    /** A no, and why. */
+    public static Answer no(HttpResponseStatus status, String why) {
+      return new Answer(status, Json.object("error", why));
+    }
+  }
 
   /** Whether this process takes clients. */
   boolean ready();
--- a/src/main/java/beamspread/node/mgmt/MgmtHandler.java
+++ b/src/main/java/beamspread/node/mgmt/MgmtHandler.java
@@ -43,7 +43,7 @@
       return;
     }
     if (call.decoderResult().isFailure()) {
-      answer(ctx, no(HttpResponseStatus.BAD_REQUEST, "not a call by HTTP/1.1"));
+      answer(ctx, Answer.no(HttpResponseStatus.BAD_REQUEST, "not a call by HTTP/1.1"));
       return;
     }
     String path = call.uri();
@@ -55,37 +55,37 @@
           case "/_ready" -> get(call, this::ready);
           case "/_vars" -> get(call, () -> new Answer(HttpResponseStatus.OK, calls.figures()));
           case DETACH, ATTACH -> change(call, path.equals(DETACH));
-          default -> no(HttpResponseStatus.NOT_FOUND, "no such call: " + path);
+          default -> Answer.no(HttpResponseStatus.NOT_FOUND, "no such call: " + path);
         });
   }
 
   private static Answer get(FullHttpRequest call, java.util.function.Supplier<Answer> answer) {
     return call.method().equals(HttpMethod.GET)
         ? answer.get()
-        : no(HttpResponseStatus.METHOD_NOT_ALLOWED, "this is asked by GET");
+        : Answer.no(HttpResponseStatus.METHOD_NOT_ALLOWED, "this is asked by GET");
   }
 
   private Answer ready() {
     return calls.ready()
         ? new Answer(HttpResponseStatus.OK, "{\"ready\":true}")
-        : no(HttpResponseStatus.SERVICE_UNAVAILABLE, "takes no clients");
+        : Answer.no(HttpResponseStatus.SERVICE_UNAVAILABLE, "takes no clients");
   }
 
   private Answer change(FullHttpRequest call, boolean detach) {
     if (!call.method().equals(HttpMethod.POST)) {
-      return no(HttpResponseStatus.METHOD_NOT_ALLOWED, "this is asked by POST");
+      return Answer.no(HttpResponseStatus.METHOD_NOT_ALLOWED, "this is asked by POST");
     }
     if (!mayChange(call)) {
-      return no(HttpResponseStatus.UNAUTHORIZED, "needs the token of mgmt_token_file");
+      return Answer.no(HttpResponseStatus.UNAUTHORIZED, "needs the token of mgmt_token_file");
     }
     String id;
     try {
       id = Message.parse(call.content().toString(StandardCharsets.UTF_8)).text("member", null);
     } catch (WireException e) {
-      return no(HttpResponseStatus.BAD_REQUEST, "the body is " + e.getMessage());
+      return Answer.no(HttpResponseStatus.BAD_REQUEST, "the body is " + e.getMessage());
     }
     if (id == null || id.isEmpty()) {
-      return no(HttpResponseStatus.BAD_REQUEST, "the body has no 'member'");
+      return Answer.no(HttpResponseStatus.BAD_REQUEST, "the body has no 'member'");
     }
     return detach ? calls.detach(id) : calls.attach(id);
   }
@@ -100,11 +100,6 @@
             given.substring(7).strip().getBytes(StandardCharsets.UTF_8), token);
   }
 
-  /** A no, and why. */
-  static Answer no(HttpResponseStatus status, String why) {
-    return new Answer(status, Json.object("error", why));
-  }
-
   private void answer(ChannelHandlerContext ctx, Answer answer) {
     answered = true;
     ByteBuf body = ByteBufUtil.writeUtf8(ctx.alloc(), answer.json() + "\n");
@@ -121,7 +116,7 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (cause instanceof TooLongFrameException && !answered) {
-      answer(ctx, no(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, cause.getMessage()));
+      answer(ctx, Answer.no(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, cause.getMessage()));
     } else {
       ctx.close();
     }
--- a/src/main/java/beamspread/node/mgmt/MgmtServer.java
+++ b/src/main/java/beamspread/node/mgmt/MgmtServer.java
@@ -1,10 +1,10 @@
 package beamspread.node.mgmt;
 
+import beamspread.loop.Listener;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.TooLongFrameException;
@@ -35,41 +35,6 @@
   private final Channel listener;
   private final LinkedHashSet<Channel> open = new LinkedHashSet<>();
 
-  private MgmtServer(
-      EventLoop loop,
-      ServerBootstrap sockets,
-      ByteBufAllocator allocator,
-      SocketAddress address,
-      byte[] token,
-      long patienceMillis,
-      MgmtCalls calls)
-      throws IOException, InterruptedException {
-    this.patienceMillis = patienceMillis;
-    var bound =
-        sockets
-            .group(loop)
-            .childOption(ChannelOption.ALLOCATOR, allocator)
-            .childHandler(
-                new ChannelInitializer<>() {
-                  @Override
-                  protected void initChannel(Channel channel) {
-                    accept(channel);
-                    channel
-                        .pipeline()
-                        .addLast(
-                            new HttpServerCodec(1024, 4096, LONGEST_BODY),
-                            new Whole(),
-                            new MgmtHandler(calls, token));
-                  }
-                })
-            .bind(address)
-            .await();
-    if (!bound.isSuccess()) {
-      throw new IOException("cannot listen on mgmt " + address + ": " + bound.cause().getMessage());
-    }
-    listener = bound.channel();
-  }
-
   /**
    * Listens.
    *
@@ -78,7 +43,7 @@
    * @param patienceMillis how long a caller may take over a call
    * @throws IOException if the address can't be listened on
    */
-  public static MgmtServer open(
+  public MgmtServer(
       EventLoop loop,
       ServerBootstrap sockets,
       ByteBufAllocator allocator,
@@ -87,7 +52,21 @@
       long patienceMillis,
       MgmtCalls calls)
       throws IOException, InterruptedException {
-    return new MgmtServer(loop, sockets, allocator, address, token, patienceMillis, calls);
+    this.patienceMillis = patienceMillis;
+    listener =
+        Listener.open(
+            sockets.group(loop).childOption(ChannelOption.ALLOCATOR, allocator),
+            address,
+            "cannot listen on mgmt " + address,
+            channel -> {
+              accept(channel);
+              channel
+                  .pipeline()
+                  .addLast(
+                      new HttpServerCodec(1024, 4096, LONGEST_BODY),
+                      new Whole(),
+                      new MgmtHandler(calls, token));
+            });
   }
 
   private void accept(Channel channel) {
--- a/src/main/java/beamspread/node/wire/Json.java
+++ b/src/main/java/beamspread/node/wire/Json.java
@@ -1,4 +1,4 @@
-package beamspread.node.mgmt;
+package beamspread.node.wire;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -6,7 +6,7 @@
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 
-/** Bodies of answers. */
+/** JSON objects that a node writes, on one line each. */
 public final class Json {
   private static final JsonFactory FACTORY = new JsonFactory();
 
--- a/src/main/java/beamspread/standin/CacheServer.java
+++ b/src/main/java/beamspread/standin/CacheServer.java
@@ -1,11 +1,11 @@
 package beamspread.standin;
 
+import beamspread.loop.Listener;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -114,23 +114,11 @@
   /** Has something listen on a free port of the loopback address. */
   static Channel listen(EventLoop loop, java.util.function.Consumer<Channel> accept)
       throws IOException, InterruptedException {
-    var bound =
-        new ServerBootstrap()
-            .group(loop)
-            .channel(NioServerSocketChannel.class)
-            .childHandler(
-                new ChannelInitializer<>() {
-                  @Override
-                  protected void initChannel(Channel channel) {
-                    accept.accept(channel);
-                  }
-                })
-            .bind(InetAddress.getLoopbackAddress(), 0)
-            .await();
-    if (!bound.isSuccess()) {
-      throw new IOException("cannot listen: " + bound.cause().getMessage());
-    }
-    return bound.channel();
+    return Listener.open(
+        new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class),
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+        "cannot listen",
+        accept);
   }
 
   /** Where it listens. */
--- a/src/test/java/beamspread/node/mgmt/MgmtServerTest.java
+++ b/src/test/java/beamspread/node/mgmt/MgmtServerTest.java
@@ -61,7 +61,7 @@
           }
         };
     return (InetSocketAddress)
-        MgmtServer.open(
+        new MgmtServer(
                 group.next(),
                 new ServerBootstrap().channel(NioServerSocketChannel.class),
                 PooledByteBufAllocator.DEFAULT,
