A rush of reads leaves an eighth of the places for open requests to writes

Change: reads may take seven eighths of the places (Balancer.request); a refusal goes out at once as before.

--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -54,6 +54,11 @@
   /** A key with more than this part of a server's fair share of requests is shared by several. */
   private static final double HOT_SHARE = 0.5;
 
+  /**
+   * The part of the places for open requests that reads may take; writes are few and worth more.
+   */
+  private static final double READS_PART = 0.875;
+
   /** Seconds for which connections are closed after use: as long as a fleet keeps its size. */
   private static final double THRIFT = 300;
 
@@ -147,10 +152,9 @@
     // goes out while less would be answered within the aim (Little's law). Fetches have a window of
     // their own, and one for each server is always fair.
     int busy = inFlight - guard.fetches;
+    double places = settings.limits().maxOpen() * (request.write() ? 1 : READS_PART);
     boolean hopeless = busy > ready.size() && busy > answerRate * type.aim();
-    if (hopeless
-        || pending.size() + openElsewhere > settings.limits().maxOpen()
-        || !dispatch(now, p)) {
+    if (hopeless || pending.size() + openElsewhere > places || !dispatch(now, p)) {
       giveUp(p);
     }
   }
@@ -307,9 +311,7 @@
           || coldFull(now, server)) {
         continue;
       }
-      if (best == null || server.inFlight < best.inFlight) {
-        best = server;
-      }
+      best = best == null || server.inFlight < best.inFlight ? server : best;
     }
     return best;
   }
--- a/src/main/java/beamspread/policy/KeyHeat.java
+++ b/src/main/java/beamspread/policy/KeyHeat.java
@@ -18,9 +18,7 @@
 
   /** Counts a sighting and returns the key's weight: its recent sightings, an upper estimate. */
   float seen(double now, long keyHash) {
-    if (foldedAt == 0) {
-      foldedAt = now;
-    }
+    foldedAt = Math.max(foldedAt, now - 10 * HALF_LIFE); // What is older counts for nothing.
     while (now - foldedAt >= HALF_LIFE / 4) {
       foldedAt += HALF_LIFE / 4;
       fold();
--- a/src/test/java/beamspread/policy/LargeFleetTest.java
+++ b/src/test/java/beamspread/policy/LargeFleetTest.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -99,4 +100,21 @@
       assertTrue(s < 11 || sent > RATE * 9 / 10, sent + " in second " + s + ", seed " + seed);
     }
   }
+
+  @Test
+  void aRushOfReadsLeavesPlacesToWrites() {
+    Settings settings = Rig.settings(14, Settings.Spread.USUAL);
+    Balancer one = new Balancer(settings.with(settings.limits().open(96)), 1, actions);
+    one.membership(100, Rig.fleet(SERVERS));
+    for (int i = 0; i < 200; i++) {
+      one.request(100, Rig.request("r" + i, "k" + i, "safe", 1));
+    }
+    assertEquals(84, actions.of("send").size());
+    assertEquals(116, actions.of("refuse").size(), "at once");
+    for (int i = 0; i < 20; i++) {
+      one.request(100, Rig.request("w" + i, "k" + i, "unsafe", 1));
+    }
+    assertEquals(96, actions.of("send").size());
+    assertEquals(124, actions.of("refuse").size(), "at once");
+  }
 }
