What a part of the servers turn away is again served by the others from the first

Need: the build failed in one of some runs: TroubledServersTest met "SERVER_ERROR busy" where two of four servers turn away half of what they get. Since the origin's losses are pooled over all servers, the first refusal of each troubled server was taken for the origin's, and while the origin counts as troubled nothing is tried again.

Change: a full server says so of itself at once, so its refusals tell nothing in the pooled losses. Where even the servers that fare best turn fetches away, the old rule, losses server by server, still calls the origin troubled. Timeouts, errors and late answers tell as before. Paid for in policy by Outcome.Note.missed().

--- a/src/main/java/beamspread/model/Outcome.java
+++ b/src/main/java/beamspread/model/Outcome.java
@@ -72,6 +72,11 @@
     NONE,
     HIT,
     MISS,
-    MISS_PENDING
+    MISS_PENDING;
+
+    /** Whether the cache had to ask the origin. */
+    public boolean missed() {
+      return this == MISS || this == MISS_PENDING;
+    }
   }
 }
--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -75,7 +75,6 @@
   private double totalWeight;
   private double greatestShare = 1;
   private double usualStrain;
-  private double leastLosses;
   private boolean fewFailing;
   private int inFlight;
   private int openElsewhere;
@@ -229,7 +228,7 @@
       // Shares are relative: what strains all servers alike moves no key.
       greatestShare = Math.max(0.02, ranked(server -> server.share(now), 1));
       usualStrain = ranked(server -> server.strain(now), 0.5);
-      leastLosses = ranked(server -> server.fetchLosses, 0.25);
+      guard.leastLosses = ranked(server -> server.fetchLosses, 0.25);
       fewFailing = 3 * ready.stream().filter(s -> s.unserved > 1).count() < ready.size();
       double weight = 0;
       for (ServerHealth server : ready) {
@@ -395,10 +394,7 @@
    * moves no keys to caches lacking them.
    */
   private void judge(double now, PendingRequest p, ServerHealth server, Outcome outcome) {
-    boolean fetch =
-        outcome.attempt() == p.fetchAttempt
-            || outcome.note() == Outcome.Note.MISS
-            || outcome.note() == Outcome.Note.MISS_PENDING;
+    boolean fetch = outcome.attempt() == p.fetchAttempt || outcome.note().missed();
     // A hung server has no hits to tell of it: while fetches fare well elsewhere it is blamed.
     boolean hung =
         outcome.result() == Outcome.Result.TIMEOUT
@@ -431,8 +427,9 @@
       failed |= ok && !good && outcome.note() != Outcome.Note.HIT;
       // The origin's losses are those of all servers at most one loss behind the best quarter: one
       // sees too few. Guards against servers that lose fetches for a cause of their own (bad links,
-      // vanished machines), for which the window would shut all others off.
-      boolean tells = server.fetchLosses <= leastLosses + ServerHealth.ONE_LOSS;
+      // full queues), for which the window would shut all others off.
+      boolean tells = server.fetchLosses <= guard.leastLosses + ServerHealth.ONE_LOSS;
+      tells &= outcome.result() != Outcome.Result.FULL;
       server.fetched(good, failed);
       List<PendingRequest> followers = guard.over(now, p, good, failed, tells);
       for (PendingRequest follower : followers) {
--- a/src/main/java/beamspread/policy/OriginGuard.java
+++ b/src/main/java/beamspread/policy/OriginGuard.java
@@ -49,6 +49,10 @@
   private double tokens;
   private double tokensAt;
   private double losses;
+
+  /** What even the servers that fare best lose: what only a part turns away is its own. */
+  double leastLosses;
+
   private double shrunkAt;
 
   static long pair(PendingRequest p, ServerHealth server) {
@@ -81,7 +85,7 @@
 
   /** Whether more fetches fail than is fair. */
   boolean troubled() {
-    return losses > FAIR_LOSSES;
+    return Math.max(losses, leastLosses) > FAIR_LOSSES;
   }
 
   void park(PendingRequest p) {
--- a/src/test/java/beamspread/policy/LargeFleetTest.java
+++ b/src/test/java/beamspread/policy/LargeFleetTest.java
@@ -1,6 +1,7 @@
 package beamspread.policy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beamspread.model.Outcome;
@@ -115,4 +116,37 @@
     assertEquals(96, actions.of("send").size());
     assertEquals(124, actions.of("refuse").size(), "at once");
   }
+
+  /** Half of the servers turn away half of what they get: seen at once, it is no one else's. */
+  @ParameterizedTest
+  @ValueSource(ints = {4, 8, SERVERS})
+  void whatSomeServersTurnAwayTheOthersServe(int servers) {
+    for (long seed = 1; seed <= 50; seed++) {
+      Rig.Recorder told = new Rig.Recorder();
+      Balancer one = new Balancer(Rig.settings(1, Settings.Spread.USUAL), seed, told);
+      one.membership(100, Rig.fleet(servers));
+      int full = 0;
+      int done = 0;
+      for (int i = 0; i < 200; i++) {
+        double now = 100 + i * 0.01;
+        String id = "r" + seed + "-" + i;
+        one.request(now, Rig.request(id, id, "safe", 1));
+        for (int attempt = 0; done < told.acts.size(); done++) {
+          Rig.Act act = told.acts.get(done);
+          assertNotEquals("refuse", act.what(), id + " of seed " + seed);
+          if (act.what().equals("send")) {
+            boolean turnsAway = act.number() <= servers / 2 && full++ % 2 == 0;
+            one.outcome(now, answer(act, attempt++, turnsAway));
+          }
+        }
+      }
+      assertTrue(full > 20, full + " came there, seed " + seed);
+    }
+  }
+
+  private static Outcome answer(Rig.Act sent, int attempt, boolean turnsAway) {
+    Outcome.Result result = turnsAway ? Outcome.Result.FULL : Outcome.Result.OK;
+    Outcome.Note note = turnsAway ? Outcome.Note.NONE : Outcome.Note.HIT;
+    return new Outcome(sent.id(), attempt, sent.number(), result, 0.001, !turnsAway, note, null);
+  }
 }
