Clients' connections close the sooner the more are open, not all at 0.1 s from a third on

Change: the rest falls smoothly, from 10 s at a third of the budget over 1 s at a half to 0.1 s at two thirds. Ruled out before: want of room, values cut, half commands, answers not written yet.

--- a/src/main/java/beamspread/node/client/ClientConnections.java
+++ b/src/main/java/beamspread/node/client/ClientConnections.java
@@ -41,8 +41,10 @@
   /** A client that means to ask does so within this time: the way there and some to spare. */
   private static final long FRESH_NANOS = 50_000_000L;
 
-  /** The part of its connections from which on a node has many. */
-  private static final int CROWD = 3;
+  /** The part of its connections up to which a node has few, and from which on it has many. */
+  private static final double FEW = 1 / 3.0;
+
+  private static final double MANY = 2 / 3.0;
 
   private final Limits limits;
   private final LoopWatch watch;
@@ -97,14 +99,19 @@
   }
 
   /**
-   * How long a connection is kept between requests. Guards against clients that ask once and keep
-   * their connection: these use up what all clients together may hold, long before this node runs
-   * out, and then others have none to ask on. Should cover pools that are left open as well. With
-   * few connections open nothing is closed early, since a new one costs both sides work; it could
-   * do harm where many clients ask again after a moment: these have to connect anew.
+   * How long a connection is kept between requests: the fuller, the shorter. Guards against clients
+   * that ask once and keep their connection: these use up what all clients together may hold, long
+   * before this node runs out, and then others have none to ask on. Should cover pools that are
+   * left open as well. With few connections open nothing is closed early, since a new one costs
+   * both sides work, and a close may cross a request, which then comes late or, where this node
+   * stands still meanwhile, not at all; it could do harm where many clients ask again after a
+   * moment.
    */
   long restNanos() {
-    return open.size() > most() / CROWD ? limits.crowdedNanos() : limits.idleNanos();
+    double full = (double) open.size() / most();
+    double part = Math.max(0, Math.min(1, (full - FEW) / (MANY - FEW)));
+    double shortest = (double) limits.crowdedNanos() / limits.idleNanos();
+    return (long) (limits.idleNanos() * Math.pow(shortest, part));
   }
 
   /**
