--- a/src/test/java/beamspread/ArchitectureTest.java
+++ b/src/test/java/beamspread/ArchitectureTest.java
@@ -20,6 +20,7 @@
     "beamspread.replay..",
     "beamspread.runs..",
     "beamspread.report..",
+    "beamspread.store..",
     "beamspread.cli.."
   };
 
@@ -111,7 +112,9 @@
           "beamspread.fleet.Rollout",
           "beamspread.fleet.Selection",
           "beamspread.fleet.Resume",
-          "beamspread.loop.LoopWatch"
+          "beamspread.loop.LoopWatch",
+          "beamspread.store.WriteDesk",
+          "beamspread.store.IdWindow"
         }) {
       noClasses()
           .that()
