Store: served over the meta commands; check, backup and measure store

Change: ./beamspread store serve speaks mg and ms as cache servers send them to their origin, strictly read, answers in order, reads on a thread of their own; store check looks a file over and store backup copies one that is in use, whole and checked or not at all. ./beamspread measure store sets batches beside one write a transaction and beside the disk's own limit, and lets the disk stand still.

--- a/src/main/java/beamspread/cli/Main.java
+++ b/src/main/java/beamspread/cli/Main.java
@@ -16,6 +16,7 @@
       AgentCommand.class,
       DemoCommand.class,
       LabCommand.class,
+      StoreCommand.class,
       MeasureCommand.class,
       AutoComplete.GenerateCompletion.class
     },
--- a/src/main/java/beamspread/cli/MeasureCommand.java
+++ b/src/main/java/beamspread/cli/MeasureCommand.java
@@ -16,7 +16,8 @@
       MeasurePool.class,
       MeasureValues.class,
       MeasureProfile.class,
-      MeasureLab.class
+      MeasureLab.class,
+      MeasureStore.class
     })
 final class MeasureCommand implements Runnable {
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
