Store: a burst on one connection waits there and fills no queue that all share

Need: the build met "SERVER_ERROR busy" in StoreServerTest: what one read brings is decoded whole, so more than 64 commands of one connection could be open, and 100 of them filled the writes' queue.

Change: Netty's flow control between reader and connection holds back what is beyond.

Measured: 2,000 writes in one burst are all stored at a queue of 100; the new test fails without it.

--- a/src/main/java/beamspread/store/StoreServer.java
+++ b/src/main/java/beamspread/store/StoreServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.flow.FlowControlHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -61,7 +62,13 @@
       return;
     }
     channel.closeFuture().addListener(closed -> open.decrementAndGet());
-    channel.pipeline().addLast(new MetaReader(), new StoreConnection(store, this::read));
+    // Holds back what one read has brought beyond the commands that may be open: else a burst on
+    // one
+    // connection would fill the queue that all share.
+    channel
+        .pipeline()
+        .addLast(
+            new MetaReader(), new FlowControlHandler(), new StoreConnection(store, this::read));
   }
 
   /** Runs a read; false if too many wait. */
--- a/src/test/java/beamspread/store/StoreServerTest.java
+++ b/src/test/java/beamspread/store/StoreServerTest.java
@@ -89,6 +89,18 @@
     }
   }
 
+  @Test
+  void aBurstOnOneConnectionWaitsThereAndFillsNoQueue() throws Exception {
+    StringBuilder all = new StringBuilder();
+    for (int i = 0; i < 2000; i++) {
+      all.append("ms k").append(i).append(" 1 Ow").append(i).append(" Pd=20000\r\nv\r\n");
+    }
+    send(all.toString());
+    for (int i = 0; i < 2000; i++) {
+      assertThat(line()).startsWith("HD Ow" + i + " c");
+    }
+  }
+
   @Test
   void whatMakesNoSenseIsNamedAndWhatCannotBeToldApartEndsTheConnection() throws Exception {
     send("get x\r\nmg \r\nms k 1 Pd=20000\r\na\r\nmg k v O1 Pd=0\r\nmg k v O2 Pd=20000\r\n");
