Store's commands: one wait for the end, the shared checks, faults and scratch folder

Need: store serve repeated the agent's wait for SIGTERM, checked options by hand beside Bounds, caught what the command line's own handler tells; measure store had two wrappers of one interface and cleared its folder itself, only where nothing failed.

Change: UntilTold for agent and store; Bounds, the handler, Scratch within a folder; one wrapper. Faults are now told as all commands do, with the command's name before them and the bounds in words.

Checked: serve, SIGTERM, check, backup and wrong options by hand, measure store with a folder (nothing left behind); store, command line and architecture tests.

--- a/src/main/java/beamspread/cli/AgentCommand.java
+++ b/src/main/java/beamspread/cli/AgentCommand.java
@@ -3,7 +3,6 @@
 import beamspread.agent.Agent;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -41,26 +40,12 @@
       spec.commandLine().getOut().println(config + ": good, " + instances + " instances");
       return 0;
     }
-    CountDownLatch told = new CountDownLatch(1);
-    CountDownLatch over = new CountDownLatch(1);
     LogSetup.agent(Agent.log(config));
-    try (Agent agent = Agent.start(config)) {
-      Runtime.getRuntime()
-          .addShutdownHook(
-              new Thread(
-                  () -> {
-                    told.countDown();
-                    try {
-                      over.await();
-                    } catch (InterruptedException e) {
-                      Thread.currentThread().interrupt();
-                    }
-                  }));
+    try (UntilTold until = new UntilTold();
+        Agent agent = Agent.start(config)) {
       spec.commandLine().getOut().println("agent listens on " + agent.url());
       spec.commandLine().getOut().flush();
-      told.await();
-    } finally {
-      over.countDown();
+      until.await();
     }
     return 0;
   }
--- a/src/main/java/beamspread/cli/MeasureStore.java
+++ b/src/main/java/beamspread/cli/MeasureStore.java
@@ -11,7 +11,6 @@
 import java.io.PrintWriter;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.EnumMap;
@@ -21,6 +20,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.HdrHistogram.Histogram;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -56,10 +56,12 @@
 
   private int ids;
 
-  /** Sheets before a disk that can be made to stand still. */
-  private record Stalling(Sheets sheets, Semaphore disk) implements Sheets {
+  /** Sheets whose transactions are counted, before a disk that can be made to stand still. */
+  private record Watched(Sheets sheets, Semaphore disk, AtomicInteger transactions)
+      implements Sheets {
     @Override
     public List<Write.Answer> commit(List<Write> batch) throws SheetsException {
+      transactions.incrementAndGet();
       disk.acquireUninterruptibly();
       try {
         return sheets.commit(batch);
@@ -81,14 +83,11 @@
 
   @Override
   public Integer call() throws Exception {
-    if (seconds < 1 || seconds > 600 || stall < 1 || stall > 600) {
-      throw new CommandLine.ParameterException(
-          spec.commandLine(), "--seconds and --stall must be 1 to 600");
-    }
+    Bounds.check(spec.commandLine(), "--seconds", seconds, 1, 600);
+    Bounds.check(spec.commandLine(), "--stall", stall, 1, 600);
     PrintWriter out = spec.commandLine().getOut();
-    try (Scratch scratch = new Scratch()) {
-      Path at =
-          folder == null ? scratch.folder() : Files.createTempDirectory(folder, "measure-store");
+    try (Scratch scratch = folder == null ? new Scratch() : new Scratch(folder)) {
+      Path at = scratch.folder();
       Table table = new Table("WRITES", "A SECOND", "P50 MS", "P99 MS", "A TRANSACTION");
       plain(at, table);
       for (int batch : BATCHES) {
@@ -98,22 +97,10 @@
       out.println();
       reads(at, out);
       stall(at, out);
-      if (folder != null) {
-        empty(at);
-      }
     }
     return 0;
   }
 
-  private static void empty(Path folder) throws IOException {
-    try (var files = Files.list(folder)) {
-      for (Path file : files.toList()) {
-        Files.delete(file);
-      }
-    }
-    Files.delete(folder);
-  }
-
   /** What the disk itself does: blocks of 4 KiB behind each other, each forced. */
   private void plain(Path at, Table table) throws IOException {
     Histogram times = new Histogram(3);
@@ -149,31 +136,16 @@
     return new SqliteSheets(at.resolve(name), new IdWindow(600_000), System::currentTimeMillis);
   }
 
+  private static Watched watched(Path at, String name) throws SheetsException {
+    return new Watched(open(at, name), new Semaphore(1), new AtomicInteger());
+  }
+
   private void writes(Path at, int batch, Table table) throws Exception {
     Histogram times = new Histogram(3);
     Semaphore free = new Semaphore(OUTSTANDING);
-    int[] transactions = {0};
-    Sheets sheets = open(at, "sheets" + batch + ".db");
-    Sheets counted =
-        new Sheets() {
-          @Override
-          public List<Write.Answer> commit(List<Write> writes) throws SheetsException {
-            transactions[0]++;
-            return sheets.commit(writes);
-          }
-
-          @Override
-          public Optional<Sheet> read(String key) throws SheetsException {
-            return sheets.read(key);
-          }
-
-          @Override
-          public void close() {
-            sheets.close();
-          }
-        };
+    Watched sheets = watched(at, "sheets" + batch + ".db");
     try (SheetStore store =
-        new SheetStore(counted, new WriteDesk.Limits(OUTSTANDING, batch, 60 * SECOND))) {
+        new SheetStore(sheets, new WriteDesk.Limits(OUTSTANDING, batch, 60 * SECOND))) {
       long until = System.nanoTime() + seconds * SECOND;
       while (System.nanoTime() - until < 0) {
         free.acquire();
@@ -192,7 +164,11 @@
       free.acquire(OUTSTANDING);
     }
     String what = batch == 1 ? "one in a transaction" : "up to " + batch + " in one";
-    row(table, what, times, (double) times.getTotalCount() / Math.max(1, transactions[0]));
+    row(
+        table,
+        what,
+        times,
+        (double) times.getTotalCount() / Math.max(1, sheets.transactions().get()));
   }
 
   private void reads(Path at, PrintWriter out) throws Exception {
@@ -208,11 +184,10 @@
 
   /** 200 writes and 200 reads a second, each with a second to be answered in. */
   private void stall(Path at, PrintWriter out) throws Exception {
-    Semaphore disk = new Semaphore(1);
     Map<Write.Fate, Integer> fates = new EnumMap<>(Write.Fate.class);
     Histogram late = new Histogram(3);
     Histogram reads = new Histogram(3);
-    Stalling sheets = new Stalling(open(at, "stalled.db"), disk);
+    Watched sheets = watched(at, "stalled.db");
     try (SheetStore store = new SheetStore(sheets, new WriteDesk.Limits(1024, 128, SECOND / 2))) {
       long began = System.nanoTime();
       boolean still = false;
@@ -222,10 +197,10 @@
           TimeUnit.MICROSECONDS.sleep(200);
         }
         if (!still && tick == 400) {
-          disk.acquire();
+          sheets.disk().acquire();
           still = true;
         } else if (still && tick == 200 * (stall + 2)) {
-          disk.release();
+          sheets.disk().release();
         }
         long sent = System.nanoTime();
         store.write(
--- a/src/main/java/beamspread/cli/Scratch.java
+++ b/src/main/java/beamspread/cli/Scratch.java
@@ -32,7 +32,12 @@
   private boolean ended;
 
   Scratch() throws IOException {
-    folder = Files.createTempDirectory("beamspread");
+    this(Path.of(System.getProperty("java.io.tmpdir")));
+  }
+
+  /** In a folder of its own within this one. */
+  Scratch(Path within) throws IOException {
+    folder = Files.createTempDirectory(within, "beamspread");
     Runtime.getRuntime().addShutdownHook(atExit);
   }
 
--- a/src/main/java/beamspread/cli/StoreBackupCommand.java
+++ b/src/main/java/beamspread/cli/StoreBackupCommand.java
@@ -32,14 +32,9 @@
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
   @Override
-  public Integer call() {
-    try {
-      SheetsFile.backup(file, copy);
-      spec.commandLine().getOut().println(copy + ": whole, " + SheetsFile.summary(copy));
-      return 0;
-    } catch (SheetsException e) {
-      spec.commandLine().getErr().println(e.getMessage());
-      return 1;
-    }
+  public Integer call() throws SheetsException {
+    SheetsFile.backup(file, copy);
+    spec.commandLine().getOut().println(copy + ": whole, " + SheetsFile.summary(copy));
+    return 0;
   }
 }
--- a/src/main/java/beamspread/cli/StoreCheckCommand.java
+++ b/src/main/java/beamspread/cli/StoreCheckCommand.java
@@ -28,18 +28,14 @@
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
   @Override
-  public Integer call() {
-    try {
-      List<String> faults = SheetsFile.faults(file);
-      if (faults.isEmpty()) {
-        spec.commandLine().getOut().println(file + ": whole, " + SheetsFile.summary(file));
-        return 0;
-      }
-      faults.forEach(fault -> spec.commandLine().getErr().println(file + ": " + fault));
-      spec.commandLine().getErr().println("restore a backup in its place, or what it still has");
-    } catch (SheetsException e) {
-      spec.commandLine().getErr().println(e.getMessage());
+  public Integer call() throws SheetsException {
+    List<String> faults = SheetsFile.faults(file);
+    if (faults.isEmpty()) {
+      spec.commandLine().getOut().println(file + ": whole, " + SheetsFile.summary(file));
+      return 0;
     }
+    faults.forEach(fault -> spec.commandLine().getErr().println(file + ": " + fault));
+    spec.commandLine().getErr().println("restore a backup in its place, or what it still has");
     return 1;
   }
 }
--- a/src/main/java/beamspread/cli/StoreServeCommand.java
+++ b/src/main/java/beamspread/cli/StoreServeCommand.java
@@ -2,14 +2,12 @@
 
 import beamspread.store.IdWindow;
 import beamspread.store.SheetStore;
-import beamspread.store.SheetsException;
 import beamspread.store.SqliteSheets;
 import beamspread.store.StoreServer;
 import beamspread.store.WriteDesk;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import java.util.concurrent.CountDownLatch;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -68,49 +66,24 @@
 
   @Override
   public Integer call() throws Exception {
-    require(port >= 0 && port < 65536, "--port must be 0 to 65535, is " + port);
-    require(window >= 1 && window <= 1L << 32, "--window-s must be at least 1, is " + window);
-    require(batch >= 1, "--batch must be at least 1, is " + batch);
-    require(queue >= 1, "--queue must be at least 1, is " + queue);
-    CountDownLatch told = new CountDownLatch(1);
-    CountDownLatch over = new CountDownLatch(1);
-    try (StoreServer server = server()) {
-      Runtime.getRuntime().addShutdownHook(new Thread(() -> endAndWait(told, over)));
-      spec.commandLine().getOut().println("store listens on " + host + ":" + port(server));
+    Bounds.check(spec.commandLine(), "--port", port, 0, 65535);
+    Bounds.check(spec.commandLine(), "--window-s", window, 1, 1L << 32);
+    Bounds.check(spec.commandLine(), "--batch", batch, 1, Integer.MAX_VALUE);
+    Bounds.check(spec.commandLine(), "--queue", queue, 1, Integer.MAX_VALUE);
+    try (UntilTold until = new UntilTold();
+        StoreServer server = server()) {
+      String at = host + ":" + server.address().getPort();
+      spec.commandLine().getOut().println("store listens on " + at);
       spec.commandLine().getOut().flush();
-      told.await();
-    } catch (SheetsException e) {
-      spec.commandLine().getErr().println(e.getMessage());
-      return 1;
-    } finally {
-      over.countDown();
+      until.await();
     }
     return 0;
   }
 
-  private void require(boolean holds, String what) {
-    if (!holds) {
-      throw new CommandLine.ParameterException(spec.commandLine(), what);
-    }
-  }
-
   private StoreServer server() throws Exception {
     SqliteSheets sheets =
         new SqliteSheets(file, new IdWindow(window * 1000), System::currentTimeMillis);
     SheetStore store = new SheetStore(sheets, new WriteDesk.Limits(queue, batch, STALL_NANOS));
     return new StoreServer(store, new InetSocketAddress(host, port));
   }
-
-  private static int port(StoreServer server) {
-    return server.address().getPort();
-  }
-
-  private static void endAndWait(CountDownLatch told, CountDownLatch over) {
-    told.countDown();
-    try {
-      over.await();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
