One formula for how long what is free may rest; the store reads a check's faults in one place

Need: ClientConnections and pool.Crowding each had the same curve between two parts and two times; SqliteSheets and SheetsFile each read the lines of SQLite's check; a connection of the store said three times when it reads on, once without asking whether its peer takes answers.

Change: pool.Rest, SheetsFile.faults, StoreConnection.steer, the opaque word told apart once; out go a copied list, a method that nobody calls and a parameter that hid a field.

Checked: store, pool, client connections, the model and architecture tests. Times of rest are as before, to the nanosecond that a power of one cost.

--- a/src/main/java/beamspread/node/client/ClientConnections.java
+++ b/src/main/java/beamspread/node/client/ClientConnections.java
@@ -1,6 +1,7 @@
 package beamspread.node.client;
 
 import beamspread.loop.LoopWatch;
+import beamspread.pool.Rest;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -41,10 +42,8 @@
   /** A client that means to ask does so within this time: the way there and some to spare. */
   private static final long FRESH_NANOS = 50_000_000L;
 
-  /** The part of its connections up to which a node has few, and from which on it has many. */
-  private static final double FEW = 1 / 3.0;
-
-  private static final double MANY = 2 / 3.0;
+  /** Up to a third of its connections a node has few, from two thirds on many. */
+  private static final Rest REST = new Rest(1 / 3.0, 2 / 3.0);
 
   private final Limits limits;
   private final LoopWatch watch;
@@ -109,9 +108,7 @@
    */
   long restNanos() {
     double full = (double) open.size() / most();
-    double part = Math.max(0, Math.min(1, (full - FEW) / (MANY - FEW)));
-    double shortest = (double) limits.crowdedNanos() / limits.idleNanos();
-    return (long) (limits.idleNanos() * Math.pow(shortest, part));
+    return REST.nanos(full, limits.idleNanos(), limits.crowdedNanos());
   }
 
   /**
--- a/src/main/java/beamspread/pool/Crowding.java
+++ b/src/main/java/beamspread/pool/Crowding.java
@@ -15,12 +15,8 @@
   /** Under this a connection would often end between two requests that belong together. */
   static final long SHORTEST_NANOS = 300_000_000L;
 
-  /**
-   * A part turned down that a few servers' restarts explain, and one that needs all to give way.
-   */
-  private static final double FEW = 0.03;
-
-  private static final double MANY = 0.06;
+  /** Up to 3 % turned down is what a few servers' restarts explain; at 6 % all must give way. */
+  private static final Rest REST = new Rest(0.03, 0.06);
 
   /** What an attempt weighs: some fifty tell. */
   private static final double WEIGHT = 0.02;
@@ -34,10 +30,6 @@
 
   /** How long a free connection may rest, at most as long as the settings say. */
   long restNanos(long idleNanos) {
-    if (idleNanos <= SHORTEST_NANOS || turnedDown <= FEW) {
-      return idleNanos;
-    }
-    double part = Math.min(1, (turnedDown - FEW) / (MANY - FEW));
-    return (long) (idleNanos * Math.pow((double) SHORTEST_NANOS / idleNanos, part));
+    return REST.nanos(turnedDown, idleNanos, SHORTEST_NANOS);
   }
 }
--- a/src/main/java/beamspread/store/MetaReader.java
+++ b/src/main/java/beamspread/store/MetaReader.java
@@ -26,7 +26,7 @@
    *
    * @param wrong what is wrong with it, null for nothing
    * @param lost whether nothing behind it can be read
-   * @param opaque the word by which its answer is told apart, empty for none
+   * @param opaque the word by which its answer is told apart, after a space; empty for none
    * @param id what tells a write from all others: its idempotency key, else its own id
    */
   record Command(
@@ -136,6 +136,7 @@
     if (write && id.isEmpty()) {
       return fault("a write needs an id", false);
     }
-    return new Command(null, false, write, key, value, opaque, id, repeat, millis);
+    String told = opaque.isEmpty() ? "" : " " + opaque;
+    return new Command(null, false, write, key, value, told, id, repeat, millis);
   }
 }
--- a/src/main/java/beamspread/store/SheetStore.java
+++ b/src/main/java/beamspread/store/SheetStore.java
@@ -1,6 +1,5 @@
 package beamspread.store;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -96,7 +95,7 @@
     lock.lock();
     try {
       List<WriteDesk.Told<Consumer<Write.Answer>>> told =
-          new ArrayList<>(desk.ended(System.nanoTime(), batch, answers));
+          desk.ended(System.nanoTime(), batch, answers);
       if (fault != null) {
         // What the disk holds is not known any more: a new start has to look, not this process.
         told.addAll(desk.stop("the store has stopped: " + fault));
--- a/src/main/java/beamspread/store/SheetsFile.java
+++ b/src/main/java/beamspread/store/SheetsFile.java
@@ -37,16 +37,22 @@
 
   /** All that is damaged, page by page; empty if nothing is. */
   public static List<String> faults(Path file) throws SheetsException {
-    try (Connection connection = reader(file);
-        Statement statement = connection.createStatement();
-        ResultSet rows = statement.executeQuery("PRAGMA integrity_check(" + MOST_FAULTS + ")")) {
+    try (Connection connection = reader(file)) {
+      return faults(connection, "integrity_check", MOST_FAULTS);
+    } catch (SQLException e) {
+      throw unreadable(file, e);
+    }
+  }
+
+  /** What one of SQLite's own checks says; empty if it finds nothing. */
+  static List<String> faults(Connection connection, String check, int most) throws SQLException {
+    try (Statement statement = connection.createStatement();
+        ResultSet rows = statement.executeQuery("PRAGMA " + check + "(" + most + ")")) {
       List<String> faults = new ArrayList<>();
       while (rows.next()) {
         faults.add(rows.getString(1));
       }
       return faults.equals(List.of("ok")) ? List.of() : faults;
-    } catch (SQLException e) {
-      throw unreadable(file, e);
     }
   }
 
--- a/src/main/java/beamspread/store/SqliteSheets.java
+++ b/src/main/java/beamspread/store/SqliteSheets.java
@@ -106,19 +106,14 @@
   }
 
   private void prepare() throws SQLException, SheetsException {
+    List<String> faults = SheetsFile.faults(writes, "quick_check", 3);
+    if (!faults.isEmpty()) {
+      throw new SheetsException(
+          file + " is damaged: " + String.join("; ", faults) + ". Restore a backup of it",
+          true,
+          null);
+    }
     try (Statement statement = writes.createStatement()) {
-      try (ResultSet check = statement.executeQuery("PRAGMA quick_check(3)")) {
-        List<String> faults = new ArrayList<>();
-        while (check.next()) {
-          faults.add(check.getString(1));
-        }
-        if (!faults.equals(List.of("ok"))) {
-          throw new SheetsException(
-              file + " is damaged: " + String.join("; ", faults) + ". Restore a backup of it",
-              true,
-              null);
-        }
-      }
       int version;
       try (ResultSet row = statement.executeQuery("PRAGMA user_version")) {
         row.next();
@@ -270,15 +265,15 @@
   }
 
   /** Forgets some ids that are older than the window, the oldest first. */
-  private void forget(State state, int writes) throws SQLException {
+  private void forget(State state, int batch) throws SQLException {
     long upTo = window.forgetUpTo(state.clock);
     long last = -1;
     try (PreparedStatement old =
-        this.writes.prepareStatement(
+        writes.prepareStatement(
             "SELECT max(stored_ms) FROM (SELECT stored_ms FROM done WHERE stored_ms <= ?"
                 + " ORDER BY stored_ms LIMIT ?)")) {
       old.setLong(1, upTo);
-      old.setInt(2, writes * FORGOTTEN_EACH);
+      old.setInt(2, batch * FORGOTTEN_EACH);
       try (ResultSet row = old.executeQuery()) {
         last = row.next() && row.getObject(1) != null ? row.getLong(1) : -1;
       }
--- a/src/main/java/beamspread/store/StoreConnection.java
+++ b/src/main/java/beamspread/store/StoreConnection.java
@@ -36,7 +36,7 @@
   protected void channelRead0(ChannelHandlerContext ctx, MetaReader.Command command) {
     Slot slot = new Slot();
     slots.add(slot);
-    ctx.channel().config().setAutoRead(slots.size() < MOST_OPEN);
+    steer(ctx);
     if (command.wrong() != null) {
       slot.last = command.lost();
       answer(ctx, slot, "CLIENT_ERROR " + command.wrong(), null);
@@ -44,8 +44,8 @@
       long deadline = System.nanoTime() + command.millis() * 1_000_000;
       Write write =
           new Write(command.id(), command.repeat(), command.key(), command.value(), deadline);
-      String opaque = command.opaque().isEmpty() ? "" : " " + command.opaque();
-      store.write(write, told -> ctx.executor().execute(() -> wrote(ctx, slot, told, opaque)));
+      store.write(
+          write, told -> ctx.executor().execute(() -> wrote(ctx, slot, told, command.opaque())));
     } else if (!reads.test(() -> read(ctx, slot, command))) {
       answer(ctx, slot, "SERVER_ERROR busy", null);
     }
@@ -63,13 +63,12 @@
 
   /** On the reads' own thread. */
   private void read(ChannelHandlerContext ctx, Slot slot, MetaReader.Command command) {
-    String opaque = command.opaque().isEmpty() ? "" : " " + command.opaque();
     String line;
     byte[] value = null;
     try {
       Optional<Sheets.Sheet> sheet = store.read(command.key());
       value = sheet.map(Sheets.Sheet::value).orElse(null);
-      line = value == null ? "EN" : "VA " + value.length + opaque;
+      line = value == null ? "EN" : "VA " + value.length + command.opaque();
     } catch (SheetsException e) {
       line = "SERVER_ERROR failed";
     }
@@ -95,12 +94,17 @@
       }
     }
     ctx.flush();
+    steer(ctx);
+  }
+
+  /** Takes more commands only while few are open and the peer takes its answers. */
+  private void steer(ChannelHandlerContext ctx) {
     ctx.channel().config().setAutoRead(slots.size() < MOST_OPEN && ctx.channel().isWritable());
   }
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    ctx.channel().config().setAutoRead(slots.size() < MOST_OPEN && ctx.channel().isWritable());
+    steer(ctx);
   }
 
   @Override
--- a/src/main/java/beamspread/store/WriteDesk.java
+++ b/src/main/java/beamspread/store/WriteDesk.java
@@ -67,11 +67,6 @@
     return waiting.size();
   }
 
-  /** Whether a transaction is under way. */
-  public boolean busy() {
-    return busy;
-  }
-
   /**
    * Whether the transaction under way takes so long that the disk must be thought to stand still.
    */
