A tally of the tier: nodes log their seconds, ./beamspread tally adds them up

Without the option nothing is counted.

Checked: TalliesTest (sums, cut lines, a second that begins with nothing), architecture tests.

--- a/src/main/java/beamspread/Main.java
+++ b/src/main/java/beamspread/Main.java
@@ -7,16 +7,17 @@
 
 /** The program's commands. */
 public final class Main {
-  private static final String USAGE = "usage: beamspread simhost | serve | rehearse";
+  private static final String USAGE = "usage: beamspread simhost | serve [--tally] | rehearse";
 
   private Main() {}
 
   /** Runs the command named by the first word. */
   public static void main(String[] args) throws InterruptedException {
-    switch (args.length == 1 ? args[0] : "") {
+    switch (String.join(" ", args)) {
       case "simhost" -> simhost();
       case "rehearse" -> System.exit(Node.rehearse());
-      case "serve" -> System.exit(Node.serve(System.getenv("ROUTER_CONFIG")));
+      case "serve" -> System.exit(Node.serve(System.getenv("ROUTER_CONFIG"), false));
+      case "serve --tally" -> System.exit(Node.serve(System.getenv("ROUTER_CONFIG"), true));
       default -> {
         System.err.println(USAGE);
         System.exit(2);
--- a/src/main/java/beamspread/cli/Main.java
+++ b/src/main/java/beamspread/cli/Main.java
@@ -17,6 +17,7 @@
       DemoCommand.class,
       LabCommand.class,
       StoreCommand.class,
+      TallyCommand.class,
       MeasureCommand.class,
       AutoComplete.GenerateCompletion.class
     },
--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -1,6 +1,7 @@
 package beamspread.node;
 
 import beamspread.maintenance.Figures;
+import beamspread.maintenance.Tally;
 import beamspread.model.Learnt;
 import beamspread.model.LoadReport;
 import beamspread.model.MembershipUpdate;
@@ -33,6 +34,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 
 /**
  * Stands between the decision module and the sockets: tells it what happens, one event after the
@@ -73,6 +75,9 @@
   /** The classes whose requests may not be repeated at will. */
   private final Set<String> guarded = new HashSet<>();
 
+  /** Null where nobody asked for it. */
+  private Tally tally;
+
   private NodeConfig config;
   private int heldByOthers;
   private boolean telling;
@@ -121,6 +126,30 @@
             this);
   }
 
+  /**
+   * Begins to write what is done in each second to the log.
+   *
+   * @param clients how many connections of clients there are
+   */
+  void tally(IntSupplier clients) {
+    tally = new Tally();
+    loop.scheduleAtFixedRate(
+        () ->
+            log.line(
+                tally.line(
+                    System.currentTimeMillis(),
+                    new Tally.Gauges(
+                        unanswered,
+                        open.values().stream().mapToInt(request -> request.out).sum(),
+                        clients.getAsInt(),
+                        pools.sockets(),
+                        pools.opened(),
+                        pools.turnedDown()))),
+        1,
+        1,
+        TimeUnit.SECONDS);
+  }
+
   /** Tells the module the list as it was last known, and begins to follow it. */
   void start(MemberList known) {
     targets.list(known, MembershipUpdate.Kind.REMEMBERED);
@@ -262,6 +291,9 @@
     OpenRequest request = new OpenRequest(command, slot, System.nanoTime() + wait);
     open.put(request.id(), request);
     unanswered++;
+    if (tally != null) {
+      tally.taken(command.request.write());
+    }
     tell(
         now -> {
           try {
@@ -284,6 +316,9 @@
       return;
     }
     over(request);
+    if (tally != null) {
+      tally.gone();
+    }
     tell(
         now -> {
           try {
@@ -314,18 +349,21 @@
     tell(
         now -> {
           request.out--;
+          Outcome outcome =
+              new Outcome(
+                  request.id(),
+                  attempt.number,
+                  attempt.server,
+                  result,
+                  elapsed,
+                  request.ended,
+                  note,
+                  load);
+          if (tally != null) {
+            tally.ended(outcome, request.command.request.write());
+          }
           try {
-            balancer.outcome(
-                now,
-                new Outcome(
-                    request.id(),
-                    attempt.number,
-                    attempt.server,
-                    result,
-                    elapsed,
-                    request.ended,
-                    note,
-                    load));
+            balancer.outcome(now, outcome);
           } finally {
             settle(request);
           }
@@ -344,6 +382,7 @@
     OpenRequest request = attempt.request;
     if (reply.result() == Outcome.Result.OK && !request.ended && !attempt.over()) {
       over(request);
+      served(request);
       figures.replied(request.command.request.serviceClass(), Figures.Reply.SUCCESS);
       request.slot.answer(answer(request.slot.alloc(), reply));
     }
@@ -357,6 +396,7 @@
     ValueSink sink = null;
     if (!request.ended && !attempt.over()) {
       over(request);
+      served(request);
       String type = request.command.request.serviceClass();
       sink =
           relays.begin(
@@ -370,6 +410,19 @@
     return sink;
   }
 
+  private void served(OpenRequest request) {
+    if (tally != null) {
+      String type = request.command.request.serviceClass();
+      double aim =
+          settings.services().stream()
+              .filter(service -> service.name().equals(type))
+              .mapToDouble(Settings.ServiceClass::aim)
+              .findFirst()
+              .orElse(Double.POSITIVE_INFINITY);
+      tally.served(request.command.request.write(), request.age() > aim);
+    }
+  }
+
   private static ByteBuf answer(ByteBufAllocator allocator, MetaReply reply) {
     int size = reply.value() == null ? 0 : reply.value().readableBytes();
     ByteBuf bytes = allocator.buffer(reply.id().length() + 48 + size);
@@ -423,6 +476,9 @@
             guarded.contains(request.command.request.serviceClass()));
     request.attempts.add(attempt);
     request.out++;
+    if (tally != null) {
+      tally.sent(attempt.number == 0, request.age());
+    }
     if (request.ended || attempt.number >= settings.limits().maxAttempts() || latest - now <= 0) {
       ended(attempt, Outcome.Result.MOOT);
       return;
@@ -480,6 +536,11 @@
   private void end(OpenRequest request, Figures.Reply reply, String answer) {
     if (request != null && !request.ended) {
       over(request);
+      if (tally != null && reply == Figures.Reply.OVERLOAD) {
+        tally.refused(request.attempts.isEmpty());
+      } else if (tally != null) {
+        tally.failed();
+      }
       figures.replied(request.command.request.serviceClass(), reply);
       request.slot.line(answer);
       settle(request);
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -154,8 +154,12 @@
         watch.pauses());
   }
 
-  /** Runs a node until it is told to end; returns the exit code. */
-  public static int serve(String configFile) throws InterruptedException {
+  /**
+   * Runs a node until it is told to end; returns the exit code.
+   *
+   * @param tally whether it writes what it does in each second to its log
+   */
+  public static int serve(String configFile, boolean tally) throws InterruptedException {
     NodeConfig config;
     byte[] bytes;
     try {
@@ -192,6 +196,9 @@
       node.close();
       return 1;
     }
+    if (tally) {
+      node.loop.execute(() -> node.dispatcher.tally(node.clients::count));
+    }
     Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
     node.drained.await();
     return 0;
--- a/src/main/java/beamspread/node/OpenRequest.java
+++ b/src/main/java/beamspread/node/OpenRequest.java
@@ -10,6 +10,7 @@
   final MetaCommand command;
   final ClientHandler.Slot slot;
   final long deadlineNanos;
+  private final long takenNanos = System.nanoTime();
   final List<RequestAttempt> attempts = new ArrayList<>(1);
 
   /** Attempts whose outcome the module has not been told. */
@@ -24,6 +25,11 @@
     this.deadlineNanos = deadlineNanos;
   }
 
+  /** Seconds since it was taken. */
+  double age() {
+    return (System.nanoTime() - takenNanos) / 1e9;
+  }
+
   String id() {
     return command.request.id();
   }
--- a/src/main/java/beamspread/node/server/ServerPools.java
+++ b/src/main/java/beamspread/node/server/ServerPools.java
@@ -26,6 +26,8 @@
   private final Pools<Attempt> pools;
   private final Map<Long, SocketAddress> servers = new HashMap<>();
   private final Map<Long, ServerLink> links = new HashMap<>();
+  private long opened;
+  private long turnedDown;
 
   /**
    * @param stuckNanos how long a reply may be half here
@@ -67,6 +69,16 @@
     return pools.sockets();
   }
 
+  /** Connections that have come up since the start. */
+  public long opened() {
+    return opened;
+  }
+
+  /** Connections that have not come up since the start. */
+  public long turnedDown() {
+    return turnedDown;
+  }
+
   /** Goes on by other settings. */
   public void use(PoolSettings settings) {
     pools.use(settings);
@@ -120,9 +132,11 @@
 
   private void opened(ServerLink link, ChannelFuture future) {
     if (future.isSuccess()) {
+      opened++;
       links.put(link.id, link);
       pools.opened(System.nanoTime(), link.id);
     } else {
+      turnedDown++;
       boolean silent = future.cause() instanceof ConnectTimeoutException;
       pools.notOpened(System.nanoTime(), link.id, silent);
     }
