--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -165,12 +165,13 @@
   private void shareOut(double now, PendingRequest p) {
     boolean write = p.request.write();
     double seen = write ? 0 : heat.seen(now, p.keyHash);
+    double sure = seen - Math.sqrt(seen); // One sighting is chance: of few, each key has a share.
     double zones = Math.max(1, settings.zones().size());
-    double seenInZone = seen * Math.max(1, settings.instances() / zones);
+    double seenInZone = seen + sure * (Math.max(1, settings.instances() / zones) - 1);
     boolean local =
         settings.prices().crossZone() > 0
             && (write || seenInZone * settings.prices().crossZone() >= LOCAL_SIGHTINGS);
-    double share = seen / Math.max(heat.total, 50);
+    double share = sure / Math.max(heat.total, 50);
     double servers = local ? ready.size() / zones : ready.size();
     p.homes = (int) Math.max(1, Math.min(servers, Math.ceil(share * servers / HOT_SHARE)));
     p.localJumps = local ? (int) (p.homes * zones * LOCAL_JUMPS) : 0;
--- a/src/main/java/beamspread/policy/SlotTable.java
+++ b/src/main/java/beamspread/policy/SlotTable.java
@@ -1,7 +1,7 @@
 package beamspread.policy;
 
 import beamspread.model.Hashes;
-import java.util.Arrays;
+import java.util.BitSet;
 import java.util.List;
 
 /**
@@ -13,7 +13,10 @@
   static final int SLOTS = 1 << 17;
 
   private static final int MASK = SLOTS - 1;
-  private final ServerHealth[] owners = new ServerHealth[SLOTS];
+  private ServerHealth[] owners = new ServerHealth[SLOTS];
+
+  /** The slots with a point; not every slot's owner is written down, since a start would wait. */
+  private BitSet taken = new BitSet(SLOTS);
 
   /** Points of a server of unit weight. */
   private final int unitPoints;
@@ -24,7 +27,8 @@
 
   /** Makes the table anew; a pure function of the servers, whatever order they came in. */
   void rebuild(List<ServerHealth> servers, boolean weighted) {
-    Arrays.fill(owners, null);
+    owners = new ServerHealth[SLOTS];
+    taken = new BitSet(SLOTS);
     double unit = weighted ? unit(servers) : 1;
     for (ServerHealth server : servers) {
       int points = weighted ? points(server.entry.weight() / unit) : unitPoints;
@@ -32,18 +36,10 @@
         int slot = (int) Hashes.mix(Hashes.mix(server.id) + p) & MASK;
         if (owners[slot] == null || server.id < owners[slot].id) {
           owners[slot] = server;
+          taken.set(slot);
         }
       }
     }
-    // Twice around: the first round only finds the owner of the last slots.
-    ServerHealth next = null;
-    for (int i = 2 * SLOTS - 1; i >= 0; i--) {
-      if (owners[i & MASK] != null) {
-        next = owners[i & MASK];
-      } else if (i < SLOTS) {
-        owners[i] = next;
-      }
-    }
   }
 
   /** A power of four near the greatest weight: it hardly ever changes when servers come and go. */
@@ -63,6 +59,8 @@
 
   /** The owner of slot h(key, attempt); null if there are no servers. */
   ServerHealth owner(long keyHash, int attempt) {
-    return owners[(int) Hashes.mix(keyHash + attempt * 0x9E3779B97F4A7C15L) & MASK];
+    int slot = taken.nextSetBit((int) Hashes.mix(keyHash + attempt * 0x9E3779B97F4A7C15L) & MASK);
+    slot = slot < 0 ? taken.nextSetBit(0) : slot;
+    return slot < 0 ? null : owners[slot];
   }
 }
--- a/src/test/java/beamspread/policy/LargeFleetTest.java
+++ b/src/test/java/beamspread/policy/LargeFleetTest.java
@@ -7,7 +7,9 @@
 import beamspread.model.Outcome;
 import beamspread.model.Settings;
 import java.util.ArrayDeque;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -117,6 +119,33 @@
     assertEquals(124, actions.of("refuse").size(), "at once");
   }
 
+  /** How many servers get the requests of keys that this node sees so often in five seconds. */
+  private double homes(int sightings) {
+    Rig.Recorder told = new Rig.Recorder();
+    Balancer one = new Balancer(Rig.settings(100, Settings.Spread.USUAL), 1, told);
+    one.membership(100, Rig.fleet(SERVERS));
+    int keys = 50 / sightings;
+    Map<String, Set<Long>> homes = new HashMap<>();
+    for (int i = 0; i < keys * sightings; i++) {
+      double now = 100 + i * 0.1;
+      String key = "key" + i % keys;
+      one.request(now, Rig.request("r" + i, key, "safe", 1));
+      Rig.Act sent = told.of("send").get(i);
+      homes.computeIfAbsent(key, any -> new HashSet<>()).add(sent.number());
+      one.outcome(now + 0.01, answer(sent, 0, false));
+    }
+    return homes.values().stream().mapToInt(Set::size).average().orElseThrow();
+  }
+
+  /** Of fifty requests each key has a share: only what comes again and again is hot. */
+  @Test
+  void aNodeThatSeesLittleTakesNoKeyForHotThatItSeesOnce() {
+    // Seen twice each, in five seconds, by one of a hundred nodes: two homes at the most.
+    assertEquals(1, homes(1));
+    assertTrue(homes(2) <= 1.5, "seen twice: " + homes(2));
+    assertTrue(homes(25) >= 5, "half of all requests: " + homes(25));
+  }
+
   /** Half of the servers turn away half of what they get: seen at once, it is no one else's. */
   @ParameterizedTest
   @ValueSource(ints = {4, 8, SERVERS})
