Pools keep a tier's part of free connections and see a door that says busy

These servers let a connection come up and answer busy on it; ServerLinks.answered took that for an answer, kept the connection, learnt no limit, and told Crowding that one was found. And connections has a floor of one: 93 nodes may hold 5,600 where 60 servers take some 1,500.

Change: free_each, 12 over the number of nodes for each server, bounds the free ones of a node, those unused longest end first; busy as a connection's first answer is a shut door: it ends, the limit is learnt where another works, and it counts as turned down. The model follows the same rule.

--- a/src/bench/java/beamspread/pool/PoolsBenchmark.java
+++ b/src/bench/java/beamspread/pool/PoolsBenchmark.java
@@ -40,7 +40,7 @@
   @Setup
   public void fill() {
     PoolSettings settings =
-        new PoolSettings(6, 2, 6, 32, 400, 6, 64, 0, 30_000 * MS, 0, 400 * MS, 2000 * MS);
+        new PoolSettings(6, 2, 6, 32, 400, 6, 64, 0, 6, 30_000 * MS, 0, 400 * MS, 2000 * MS);
     pools = new Pools<>(settings, random::nextDouble, this);
     for (int server = 0; server < SERVERS; server++) {
       pools.listed(server, false, Long.MIN_VALUE);
@@ -66,7 +66,7 @@
     Long link = written.poll();
     if (link != null) {
       pools.heard(now, link);
-      pools.answered(now, link, now - MS, true, false);
+      pools.answered(now, link, now - MS, true, false, false);
       pools.readDone(now, link, false);
     }
     return pools.sockets();
--- a/src/main/java/beamspread/lab/Experiment.java
+++ b/src/main/java/beamspread/lab/Experiment.java
@@ -43,7 +43,7 @@
                   service("read", 0.25, 1.5, Settings.Effect.SAFE),
                   service("write", 0.25, 1.5, Settings.Effect.UNSAFE))),
           new Fleet.Network(0.0002, 0.002, 0.5),
-          new Fleet.Pool(6, 0, 32),
+          new Fleet.Pool(6, 0, 32, 0),
           Settings.Spread.USUAL,
           Fleet.Policy.OWN,
           List.of());
@@ -219,11 +219,12 @@
   }
 
   private static Fleet.Pool pool(TomlFile.Table from, Fleet.Pool as) {
-    from.only(Set.of("connections", "spare", "depth"));
+    from.only(Set.of("connections", "spare", "depth", "free_each"));
     return new Fleet.Pool(
         from.number("connections", as.connections(), 1, 10_000),
         from.number("spare", as.spare(), 0, 10_000),
-        from.number("depth", as.depth(), 1, 10_000));
+        from.number("depth", as.depth(), 1, 10_000),
+        from.decimal("free_each", as.freeEach(), 0, 10_000));
   }
 
   private static Settings.Spread spread(TomlFile.Table from, Settings.Spread as) {
--- a/src/main/java/beamspread/lab/Fleet.java
+++ b/src/main/java/beamspread/lab/Fleet.java
@@ -131,8 +131,9 @@
    * @param connections to one box
    * @param spare kept ready
    * @param depth requests under way on one
+   * @param freeEach free ones kept for each box; 0 for what a node keeps by itself
    */
-  public record Pool(int connections, int spare, int depth) {}
+  public record Pool(int connections, int spare, int depth, double freeEach) {}
 
   /** What decides for nodes. */
   public enum Policy {
@@ -189,6 +190,9 @@
         pool.connections(),
         64,
         pool.spare(),
+        pool.freeEach() > 0
+            ? pool.freeEach()
+            : (double) PoolSettings.TIER_CONNECTIONS / Math.max(1, nodes),
         30_000_000_000L,
         0,
         400_000_000L,
--- a/src/main/java/beamspread/lab/NodeModel.java
+++ b/src/main/java/beamspread/lab/NodeModel.java
@@ -303,7 +303,8 @@
     Try one = link.underWay.poll();
     long now = time.now();
     pools.heard(now, link.id);
-    pools.answered(now, link.id, one.writtenAt, !one.over, guarded(one));
+    boolean turnedAway = turn.result == Outcome.Result.FULL;
+    pools.answered(now, link.id, one.writtenAt, !one.over, guarded(one), turnedAway);
     if (turn.result == Outcome.Result.OK && !one.request.ended && !one.over) {
       answer(one.request, Answer.SERVED, 0);
     }
--- a/src/main/java/beamspread/node/PoolPlan.java
+++ b/src/main/java/beamspread/node/PoolPlan.java
@@ -23,9 +23,6 @@
   /** The part of the other descriptors that connections to cache servers may take. */
   private static final double SERVERS_PART = 0.4;
 
-  /** Connections to one server, over all nodes together, that this tier opens of itself. */
-  private static final int TIER_CONNECTIONS = 12;
-
   /**
    * Connections to one server beyond these while others wait for their end: enough to learn whether
    * a silent server still runs, few enough that one which takes no more of them is not overrun.
@@ -47,6 +44,7 @@
           "opening_each",
           "opening_all",
           "spare",
+          "free_each",
           "idle_s",
           "age_s",
           "suspect_s",
@@ -90,7 +88,8 @@
     Settings.Limits limits = settings.limits();
     int most = serverSockets(descriptors);
     int connections =
-        whole("connections", Math.max(1, TIER_CONNECTIONS / settings.instances()), most);
+        whole(
+            "connections", Math.max(1, PoolSettings.TIER_CONNECTIONS / settings.instances()), most);
     // Where a request may not have two attempts out, one that is given up must be off its
     // connection before the next goes out: nothing may share it.
     int depth = limits.parallelAttempts() ? Math.max(1, limits.perConnection()) : 1;
@@ -105,6 +104,8 @@
             whole("opening_each", connections, most),
             whole("opening_all", OPENING, 1024),
             whole("spare", 0, most),
+            figure(
+                "free_each", (double) PoolSettings.TIER_CONNECTIONS / settings.instances(), most),
             nanos("idle_s", idle, Math.max(1, limits.idleTimeout())),
             nanos("age_s", 0, 86_400),
             nanos("suspect_s", SUSPECT_SECONDS, 60),
--- a/src/main/java/beamspread/node/server/ServerLink.java
+++ b/src/main/java/beamspread/node/server/ServerLink.java
@@ -142,7 +142,8 @@
     // Off the queue first, so that what the answer sets off finds the connection as it is.
     underWay.poll();
     answeredLast = head.command().request.id();
-    pools.answered(System.nanoTime(), id, head.writtenAt, !head.over(), head.guarded);
+    boolean turnedAway = reply.result() == Outcome.Result.FULL;
+    pools.answered(System.nanoTime(), id, head.writtenAt, !head.over(), head.guarded, turnedAway);
     outcomes.replied(head, reply);
   }
 
@@ -162,7 +163,7 @@
       streaming = false;
       Attempt head = underWay.poll();
       answeredLast = head.command().request.id();
-      pools.answered(System.nanoTime(), id, head.writtenAt, awaited, head.guarded);
+      pools.answered(System.nanoTime(), id, head.writtenAt, awaited, head.guarded, false);
       if (to != null) {
         to.whole();
       }
--- a/src/main/java/beamspread/pool/PoolSettings.java
+++ b/src/main/java/beamspread/pool/PoolSettings.java
@@ -14,6 +14,8 @@
  * @param openingEach how many may be coming up to one server
  * @param openingAll how many may be coming up to all servers
  * @param spare how many free ones are kept ready at a server that is in use, beyond need
+ * @param freeEach how many free ones are kept at all servers together, for each server of the list:
+ *     under one where more nodes than a server takes connections share them
  * @param idleNanos how long one is kept that is not in use, at most; each ends up to a fifth
  *     earlier
  * @param ageNanos how long one is kept at all, at most, 0 for without end; up to a fifth earlier
@@ -30,11 +32,18 @@
     int openingEach,
     int openingAll,
     int spare,
+    double freeEach,
     long idleNanos,
     long ageNanos,
     long suspectNanos,
     long coldNanos) {
 
+  /**
+   * Connections to one server, over all nodes together, that a tier keeps of itself. Where it has
+   * more nodes than that, each keeps less than one for each server.
+   */
+  public static final int TIER_CONNECTIONS = 12;
+
   /** How many may be open to one server in any case. */
   int most() {
     return connections + leaving + streaming;
@@ -51,6 +60,7 @@
         openingEach,
         openingAll,
         spare,
+        freeEach,
         idleNanos,
         ageNanos,
         suspectNanos,
@@ -71,6 +81,9 @@
     if (spare >= connections) {
       faults.add("spare must be under connections, which is " + connections);
     }
+    if (!(freeEach > 0)) {
+      faults.add("free_each must be above 0");
+    }
     least(faults, "idle_s", idleNanos, 1);
     least(faults, "age_s", ageNanos, 0);
     least(faults, "suspect_s", suspectNanos, 1);
--- a/src/main/java/beamspread/pool/Pools.java
+++ b/src/main/java/beamspread/pool/Pools.java
@@ -183,11 +183,14 @@
    *
    * @param awaited whether somebody waited for it
    * @param guarded as it was sent
+   * @param turnedAway whether the server takes no more; said first on a connection, it may mean
+   *     that
    */
-  public void answered(long now, long link, long writtenAt, boolean awaited, boolean guarded) {
+  public void answered(
+      long now, long link, long writtenAt, boolean awaited, boolean guarded, boolean turnedAway) {
     Owned<A> owned = links.get(link);
     if (owned != null) {
-      owned.server().answered(now, owned.link(), writtenAt, awaited, guarded);
+      owned.server().answered(now, owned.link(), writtenAt, awaited, guarded, turnedAway);
     }
   }
 
@@ -251,6 +254,7 @@
     for (ServerLinks<A> links : List.copyOf(servers.values())) {
       links.tick(now);
     }
+    keepFew(0);
   }
 
   /** Connections that are open, coming up, or being given up. */
@@ -296,7 +300,9 @@
 
   /** Whether there are so many sockets left that one may be opened ahead of need. */
   boolean roomAhead() {
-    return sockets() < AHEAD_PART * settings.sockets() && opening < settings.openingAll();
+    return sockets() < AHEAD_PART * settings.sockets()
+        && opening < settings.openingAll()
+        && free().size() + opening < freeAtMost();
   }
 
   /**
@@ -316,6 +322,7 @@
       }
       richest.retire(richest.idlest());
     }
+    keepFew(1);
     opening++;
     Link link =
         new Link(
@@ -328,6 +335,41 @@
     return link;
   }
 
+  private List<Link> free() {
+    List<Link> free = new ArrayList<>();
+    for (Owned<A> owned : links.values()) {
+      if (owned.link().free()) {
+        free.add(owned.link());
+      }
+    }
+    return free;
+  }
+
+  /** How many free connections this node keeps, at all servers of the list together. */
+  int freeAtMost() {
+    return (int) Math.max(1, Math.ceil(settings.freeEach() * servers.size() - 1e-9));
+  }
+
+  /**
+   * Ends the free connections beyond this node's part, those first that have been free longest.
+   * Servers take so many from all nodes together, and none sees the others: where each keeps one at
+   * each server, as soon as there are more nodes than a server takes connections, the last to come
+   * find every door shut, however little goes on. Which ones a node keeps goes by its own use.
+   *
+   * @param room for how many more
+   */
+  private void keepFew(int room) {
+    List<Link> free = free();
+    int beyond = free.size() + room - freeAtMost();
+    if (beyond <= 0) {
+      return;
+    }
+    free.sort((a, b) -> Long.signum(a.usedAt - b.usedAt));
+    for (Link link : free.subList(0, Math.min(beyond, free.size()))) {
+      links.get(link.id).server().retire(link);
+    }
+  }
+
   /** The server with the most connections of those that have a free one. */
   private ServerLinks<A> richest(ServerLinks<A> but) {
     ServerLinks<A> richest = null;
--- a/src/main/java/beamspread/pool/ServerLinks.java
+++ b/src/main/java/beamspread/pool/ServerLinks.java
@@ -198,7 +198,6 @@
     if (link.load == 0) {
       link.waitsSince = now;
     }
-    pools.seen(false);
     link.load++;
     link.awaited++;
     link.guarded += one.guarded() ? 1 : 0;
@@ -270,9 +269,8 @@
     return Math.min(streaming(), pools.settings().streaming());
   }
 
-  /** One more was turned down. */
-  private void refused(long now) {
-    int working = links.size() - opening;
+  /** One more was turned down, so many work. */
+  private void refused(long now, int working) {
     limit.refused(now, working);
     all.refused(now, working);
   }
@@ -342,7 +340,7 @@
     }
     if (streaming() > 0
         || links.values().stream().anyMatch(one -> one.writable(pools.settings().depth()))) {
-      refused(now);
+      refused(now, links.size() - opening);
       placeAgain(now);
     } else if (opening == 0) {
       pools.seen(!silent);
@@ -385,13 +383,14 @@
   }
 
   /** The oldest attempt on a connection has its answer. */
-  void answered(long now, Link link, long writtenAt, boolean awaited, boolean guarded) {
+  void answered(
+      long now, Link link, long writtenAt, boolean awaited, boolean guarded, boolean turnedAway) {
     link.load--;
     link.awaited -= awaited ? 1 : 0;
     link.guarded -= guarded ? 1 : 0;
     link.usedAt = now;
     link.waitsSince = now;
-    link.answered = true;
+    atTheDoor(now, link, turnedAway);
     if (link.retiring) {
       retire(link);
     }
@@ -401,6 +400,24 @@
     link.streaming = false;
   }
 
+  /**
+   * What the first answer on a connection tells of its server's limit. Guards against a server that
+   * lets a connection come up and says on it that it is busy: that is one too many, and as long as
+   * it is kept it hears nothing else.
+   */
+  private void atTheDoor(long now, Link link, boolean turnedAway) {
+    boolean shut = turnedAway && !link.answered;
+    pools.seen(shut);
+    if (!shut) {
+      link.answered = true;
+      return;
+    }
+    link.retiring = true;
+    if (links.values().stream().anyMatch(one -> one.answered && one.usable())) {
+      refused(now, links.size() - opening - 1);
+    }
+  }
+
   /** All that had come is read: only now may the connection be used again. */
   void readDone(long now, Link link, boolean midway) {
     link.reading = false;
@@ -427,7 +444,7 @@
     boolean turnedDown =
         link.up && !link.answered && !link.retiring && now - link.openedAt < AT_ONCE_NANOS;
     if (turnedDown && links.values().stream().anyMatch(one -> one.answered && one.usable())) {
-      refused(now);
+      refused(now, links.size() - opening);
     }
     placeAgain(now);
   }
--- a/src/test/java/beamspread/node/PoolPlanTest.java
+++ b/src/test/java/beamspread/node/PoolPlanTest.java
@@ -32,6 +32,8 @@
     PoolSettings own = read(null);
     assertThat(own.connections()).isEqualTo(6);
     assertThat(own.spare()).isZero();
+    assertThat(own.freeEach()).as("12 over a tier of two").isEqualTo(6);
+    assertThat(read("{\"free_each\":0.25}").freeEach()).isEqualTo(0.25);
     assertThat(own.sockets()).isEqualTo(80);
     assertThat(read("{}")).isEqualTo(own);
   }
@@ -39,6 +41,7 @@
   @Test
   void everyFaultIsNamed() {
     fault("{\"connections\":0}", "connections must be at least 1");
+    fault("{\"free_each\":0}", "free_each must be above 0");
     fault("{\"leaving\":-1}", "leaving must not be negative");
     fault("{\"idle_s\":61}", "idle_s must be 60 at most here, is 61");
     fault("{\"depth\":33}", "depth must be 32 at most");
--- a/src/test/java/beamspread/node/PoolSocketsTest.java
+++ b/src/test/java/beamspread/node/PoolSocketsTest.java
@@ -56,6 +56,7 @@
         connections,
         32,
         spare,
+        connections,
         idleMillis * MS,
         0,
         400 * MS,
--- a/src/test/java/beamspread/node/server/SlowPiecesTest.java
+++ b/src/test/java/beamspread/node/server/SlowPiecesTest.java
@@ -103,7 +103,7 @@
   @Test
   void eachPieceHasItsOwnTimeAndTheLastOneToo() throws Exception {
     Nothing nothing = new Nothing();
-    PoolSettings settings = new PoolSettings(1, 0, 0, 8, 8, 1, 1, 0, LIMIT, 0, LIMIT, 0);
+    PoolSettings settings = new PoolSettings(1, 0, 0, 8, 8, 1, 1, 0, 1, LIMIT, 0, LIMIT, 0);
     ServerLink link = new ServerLink(1, new Pools<>(settings, () -> 0, nothing), nothing, () -> {});
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
     EventLoop loop = group.next();
--- a/src/test/java/beamspread/pool/PoolsTest.java
+++ b/src/test/java/beamspread/pool/PoolsTest.java
@@ -177,7 +177,7 @@
   void aRefusedConnectionBesideAnAnswerInPartsIsNoServerThatIsDown() {
     World world =
         new World(
-            new PoolSettings(1, 1, 0, 4, 8, 4, 8, 0, 5000 * MS, 0, 400 * MS, 0), new Random(1));
+            new PoolSettings(1, 1, 0, 4, 8, 4, 8, 0, 1, 5000 * MS, 0, 400 * MS, 0), new Random(1));
     world.pools.listed(0, false, Long.MIN_VALUE);
     world.limits.put(0L, 1);
     world.begins(firstUp(world));
@@ -340,24 +340,111 @@
     assertThat(world.toOpen).as("cold: one for the attempt, none ahead").hasSize(1);
   }
 
+  @Test
+  void busyAsAConnectionsFirstAnswerIsAShutDoor() {
+    World world = world(4, 40, 0, 2);
+    World.Try first = world.send(0, false);
+    allComeUp(world);
+    World.Try second = world.send(0, false);
+    allComeUp(world);
+    assertThat(second.on).isNotSameAs(first.on);
+    world.answers(first.on);
+    world.turnsAway(second.on);
+    world.reap();
+    assertThat(world.up()).as("it would hear nothing else there").containsExactly(first.on);
+    World.Try third = world.send(0, false);
+    World.Try fourth = world.send(0, false);
+    allComeUp(world);
+    assertThat(third.on).isSameAs(first.on);
+    assertThat(fourth.on).as("not at once one more beyond the limit").isSameAs(first.on);
+    // Later it may be busy with work: the connection is as good as ever.
+    world.turnsAway(first.on);
+    world.reap();
+    assertThat(world.up()).containsExactly(first.on);
+  }
+
+  @Test
+  void whereDoorsAreShutFreeConnectionsGoRound() {
+    World world = world(1, 40, 0, 2);
+    World.Try kept = world.send(1, false);
+    allComeUp(world);
+    world.answers(kept.on);
+    for (int i = 0; i < 20; i++) {
+      World.Try shut = world.send(0, false);
+      allComeUp(world);
+      world.turnsAway(shut.on);
+      world.reap();
+    }
+    world.now += 200 * MS;
+    world.pools.tick(world.now);
+    world.reap();
+    assertThat(world.up()).containsExactly(kept.on);
+    world.now += 200 * MS;
+    world.pools.tick(world.now);
+    world.reap();
+    assertThat(world.up()).as("five seconds, were there room for all").isEmpty();
+  }
+
+  @Test
+  void manyNodesKeepTheirPartOfFreeConnectionsAndThoseInUseLongestAgoEnd() {
+    World world = new World(World.settings(2, 40, 0, 0.3), new Random(1));
+    for (int server = 0; server < 10; server++) {
+      world.pools.listed(server, false, Long.MIN_VALUE);
+    }
+    List<World.Try> all = new ArrayList<>();
+    for (int server = 0; server < 10; server++) {
+      all.add(world.send(server, false));
+      allComeUp(world);
+    }
+    assertThat(world.up()).as("what is under way is none of them").hasSize(10);
+    for (World.Try one : all) {
+      world.now += 20 * MS;
+      world.answers(one.on);
+    }
+    world.pools.tick(world.now);
+    world.reap();
+    assertThat(world.up()).extracting(conn -> conn.server).containsExactlyInAnyOrder(7L, 8L, 9L);
+    // One that is free is used, and one more makes room for itself.
+    World.Try known = world.send(7, false);
+    assertThat(known.on).isSameAs(all.get(7).on);
+    world.answers(known.on);
+    world.now += 20 * MS;
+    World.Try other = world.send(1, false);
+    world.reap();
+    allComeUp(world);
+    assertThat(other.on).isNotNull();
+    assertThat(world.up()).extracting(conn -> conn.server).containsExactlyInAnyOrder(7L, 9L, 1L);
+    // A list that shrinks leaves less to keep, one connection at the least.
+    world.answers(other.on);
+    for (int server = 2; server < 10; server++) {
+      if (server != 7) {
+        world.pools.left(server);
+      }
+    }
+    world.pools.tick(world.now);
+    world.reap();
+    assertThat(world.up()).extracting(conn -> conn.server).containsExactly(1L);
+  }
+
   @Test
   void settingsAreCheckedWholeAndTheLastGoodOnesStay() {
     World world = world(4, 20, 0, 1);
-    PoolSettings bad = new PoolSettings(0, -1, -1, 4, 0, 1, 1, 0, 1, 0, 1, 0);
+    PoolSettings bad = new PoolSettings(0, -1, -1, 4, 0, 1, 1, 0, 0, 1, 0, 1, 0);
     assertThat(bad.faults())
         .containsExactly(
             "connections must be at least 1",
             "leaving must not be negative",
             "streaming must not be negative",
             "sockets must be at least 1",
-            "spare must be under connections, which is 0");
+            "spare must be under connections, which is 0",
+            "free_each must be above 0");
     assertThatThrownBy(() -> world.pools.use(bad)).hasMessageContaining("sockets");
     for (int i = 0; i < 4; i++) {
       world.send(0, false);
       allComeUp(world);
     }
     assertThat(world.up()).hasSize(4);
-    world.pools.use(World.settings(1, 20, 0));
+    world.pools.use(World.settings(1, 20, 0, 4));
     List.copyOf(world.up()).forEach(world::answers);
     world.pools.tick(world.now);
     world.reap();
--- a/src/test/java/beamspread/pool/World.java
+++ b/src/test/java/beamspread/pool/World.java
@@ -77,8 +77,24 @@
   }
 
   static PoolSettings settings(int connections, int sockets, int spare) {
+    return settings(connections, sockets, spare, connections);
+  }
+
+  static PoolSettings settings(int connections, int sockets, int spare, double freeEach) {
     return new PoolSettings(
-        connections, 2, connections, 4, sockets, 4, 8, spare, 5000 * MS, 0, 400 * MS, 2000 * MS);
+        connections,
+        2,
+        connections,
+        4,
+        sockets,
+        4,
+        8,
+        spare,
+        freeEach,
+        5000 * MS,
+        0,
+        400 * MS,
+        2000 * MS);
   }
 
   private static void check(boolean holds, String what) {
@@ -193,10 +209,20 @@
   }
 
   void answers(Conn conn) {
+    answers(conn, false);
+  }
+
+  /** The server says that it takes no more. */
+  void turnsAway(Conn conn) {
+    answers(conn, true);
+  }
+
+  private void answers(Conn conn, boolean turnedAway) {
     Try attempt = conn.out.poll();
     conn.streams = false;
     pools.heard(now, conn.id);
-    pools.answered(now, conn.id, attempt.writtenAt, !attempt.abandoned, attempt.guarded);
+    pools.answered(
+        now, conn.id, attempt.writtenAt, !attempt.abandoned, attempt.guarded, turnedAway);
     conn.usedAt = now;
     if (!attempt.abandoned) {
       open.remove(attempt);
