Tests of a node through ever new clients, servers and keys; ids remembered are bounded

Need: on soak what grows is priced, and nothing showed what may grow and how far.

Found: Detachments remembered 65,536 ids, 5 MB of a heap of 32; now 4,096.

Checked: the node's test fails with the old bound (10,050 ids left).

--- a/src/main/java/beamspread/maintenance/Detachments.java
+++ b/src/main/java/beamspread/maintenance/Detachments.java
@@ -23,8 +23,8 @@
   /** How many may be taken out at a time: a list that is larger is no maintenance. */
   public static final int MOST = 4096;
 
-  /** Ids that are remembered after they have left the list. */
-  private static final int REMEMBERED = 1 << 16;
+  /** Ids remembered, those that have left the list too: some 80 bytes each of a small heap. */
+  static final int REMEMBERED = 1 << 12;
 
   /** The list as it was last told, without what operators said. */
   private final Map<Long, ServerEntry> listed = new HashMap<>();
--- /dev/null
+++ b/src/test/java/beamspread/node/EverNewTest.java
@@ -0,0 +1,121 @@
+package beamspread.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import beamspread.LeakCheck;
+import beamspread.Retained;
+import beamspread.model.Settings;
+import beamspread.node.client.ClientConnections;
+import beamspread.standin.CacheServer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
+
+/** A node over sockets, through clients, cache servers and keys that are ever new. */
+@ExtendWith(LeakCheck.class)
+class EverNewTest {
+  private static final int MANY = 10_000;
+
+  /** Servers that the list names at a time. */
+  private static final int LISTED = 50;
+
+  /** What a node may keep of anything that has ended, but for what it remembers on purpose. */
+  private static final int FEW = 512;
+
+  /** Keys lately answered, and ids that operators may name: their bounds. */
+  private static final Map<String, Integer> REMEMBERED =
+      Map.of("OriginGuard.answeredAt", 1 << 15, "Detachments.seen", 1 << 12);
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final List<CacheServer> servers = new ArrayList<>();
+
+  @AfterEach
+  void end() {
+    servers.forEach(CacheServer::close);
+    group.shutdownGracefully(30, 1000, TimeUnit.MILLISECONDS).syncUninterruptibly();
+  }
+
+  /** A list of ever new servers, all of them at the few addresses that there are. */
+  private String list(int version) {
+    List<String> lines = new ArrayList<>();
+    for (int i = 0; i < LISTED; i++) {
+      int number = version * LISTED + i;
+      lines.add(
+          "{\"id\":\"s-%d\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"a\",\"kind\":\"box\",\"state\":\"active\"}"
+              .formatted(number, servers.get(number % servers.size()).address().getPort()));
+    }
+    String json =
+        "{\"version\":%d,\"full\":true,\"servers\":[%s]}\n"
+            .formatted(version, String.join(",", lines));
+    return Integer.toHexString(json.length()) + "\r\n" + json + "\r\n";
+  }
+
+  @Test
+  void tenThousandClientsServersAndKeysLeaveNothingBehind() throws Exception {
+    for (int i = 0; i < 4; i++) {
+      servers.add(new CacheServer(group.next(), new CacheServer.Conduct(0, 10_000, true, 0, 0)));
+    }
+    String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + list(2);
+    Settings settings =
+        Peers.settings(
+            new Settings.Limits(6, true, true, false, false, false, 1, 2, 60, 32, 20000));
+    try (Peers.Server discovery = new Peers.Server(line -> line.startsWith("GET ") ? head : null)) {
+      Node node =
+          new Node(
+              new NodeConfig(
+                  new InetSocketAddress("127.0.0.1", 0),
+                  discovery.address(),
+                  1,
+                  256,
+                  64,
+                  new MemberList(true, 1, List.of()),
+                  settings,
+                  null,
+                  Peers.pool(settings, 256),
+                  "ever",
+                  false,
+                  null,
+                  null),
+              ClientConnections.Limits.usual(64),
+              Transport.TCP);
+      try {
+        InetSocketAddress address = (InetSocketAddress) node.start();
+        Peers.await("a watch", () -> !discovery.lines.isEmpty());
+        String watch = discovery.lines.get(0);
+        int served = 0;
+        int lists = MANY / LISTED;
+        for (int version = 3; version < lists + 3; version++) {
+          for (int i = 0; i < LISTED; i++) {
+            String id = Integer.toHexString((version << 8) + i);
+            try (Peers.Client client = new Peers.Client(address)) {
+              client.send("mg k" + id + " v O" + id + " Pc=read,d=5000\r\n");
+              served += client.line().startsWith("VA") ? 1 : 0;
+            }
+          }
+          discovery.send(watch, list(version));
+        }
+        assertThat(served).isGreaterThan(MANY * 9 / 10);
+        Peers.await("clients' ends", () -> node.clients() == 0);
+        Map<String, Integer> held = node.loop().submit(() -> Retained.by(node)).get();
+        assertThat(held).containsKeys("Targets.listed", "Pools.leaving", "Dispatcher.open");
+        assertThat(held.get("MembershipFeed.servers")).isLessThanOrEqualTo(LISTED);
+        held.forEach(
+            (name, size) -> {
+              int most = REMEMBERED.getOrDefault(name, FEW);
+              assertThat(size).as("%s of %s", name, held).isLessThanOrEqualTo(most);
+            });
+      } finally {
+        node.close();
+      }
+    }
+  }
+}
