--- a/src/main/java/beamspread/model/Request.java
+++ b/src/main/java/beamspread/model/Request.java
@@ -22,4 +22,10 @@
     double work,
     double size,
     boolean repeat,
-    boolean write) {}
+    boolean write) {
+
+  /** The same with so many seconds until it is given up. */
+  public Request within(double seconds) {
+    return new Request(id, key, serviceClass, tenant, seconds, work, size, repeat, write);
+  }
+}
--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -1,11 +1,13 @@
 package beamspread.node;
 
+import beamspread.loop.StandReserve;
 import beamspread.maintenance.Figures;
 import beamspread.maintenance.Tally;
 import beamspread.model.Learnt;
 import beamspread.model.LoadReport;
 import beamspread.model.MembershipUpdate;
 import beamspread.model.Outcome;
+import beamspread.model.Request;
 import beamspread.model.Settings;
 import beamspread.node.client.ClientHandler;
 import beamspread.node.client.Requests;
@@ -68,6 +70,7 @@
   private final Map<String, OpenRequest> open = new HashMap<>();
   private final ArrayDeque<Event> events = new ArrayDeque<>();
   private final long longestDeadlineNanos;
+  private final StandReserve reserve = new StandReserve();
 
   /** Requests that are taken and have no final answer, and whose clients are still there. */
   private int unanswered;
@@ -240,6 +243,11 @@
     return pools;
   }
 
+  /** The loop has stood still for so long until now. */
+  void stood(long nanos) {
+    reserve.stood(System.nanoTime(), nanos);
+  }
+
   /** What a successor had better know, null if too little is learnt yet. */
   byte[] learnt() {
     double now = clock.now();
@@ -288,16 +296,19 @@
     }
     // Longer than the longest deadline no client waits, and no restart.
     long wait = Math.min(longestDeadlineNanos, (long) (command.request.budget() * 1e9));
-    OpenRequest request = new OpenRequest(command, slot, System.nanoTime() + wait);
+    long now = System.nanoTime();
+    long held = reserve.nanos(now, wait);
+    OpenRequest request = new OpenRequest(command, slot, now + wait - held);
+    Request known = held == 0 ? command.request : command.request.within((wait - held) / 1e9);
     open.put(request.id(), request);
     unanswered++;
     if (tally != null) {
       tally.taken(command.request.write());
     }
     tell(
-        now -> {
+        at -> {
           try {
-            balancer.request(now, command.request);
+            balancer.request(at, known);
           } catch (RuntimeException | VirtualMachineError e) {
             report("decision module", e);
             fail(request);
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -122,6 +122,9 @@
 
   private void paused(long nanos) {
     log.line("the event loop stood still for " + nanos / 1_000_000 + " ms");
+    if (dispatcher != null) {
+      dispatcher.stood(nanos);
+    }
   }
 
   /** Tells the status where the configuration says so. */
--- a/src/test/java/beamspread/node/NodeProcessTest.java
+++ b/src/test/java/beamspread/node/NodeProcessTest.java
@@ -201,6 +201,36 @@
     }
   }
 
+  /** So that a second stop of that length finds nothing open that is soon due. */
+  @Test
+  void aNodeThatHasStoodStillGivesUpEarlier() throws Exception {
+    try (Peers.Server server = new Peers.Server(line -> null);
+        Peers.Server discovery = Peers.discovery(41, server)) {
+      configure(discovery, server);
+      Process process = start();
+      try (Peers.Client client = new Peers.Client(listen)) {
+        pause(process, 800);
+        Peers.await("it is seen", () -> logged("the event loop stood still for "));
+        long sent = System.nanoTime();
+        client.send("mg a v O1 Pc=read,d=2000\r\n");
+        String answer = client.line();
+        long millis = (System.nanoTime() - sent) / 1_000_000;
+        assertTrue(answer.startsWith("SERVER_ERROR"), answer);
+        assertTrue(millis < 1_900, "given up after " + millis + " of 2000 ms");
+        assertTrue(millis >= 1_490, "not earlier than a quarter of the wait: " + millis);
+      } finally {
+        process.destroyForcibly().waitFor();
+      }
+    }
+  }
+
+  private static void pause(Process process, long millis) throws Exception {
+    String id = Long.toString(process.pid());
+    new ProcessBuilder("kill", "-STOP", id).start().waitFor();
+    Thread.sleep(millis);
+    new ProcessBuilder("kill", "-CONT", id).start().waitFor();
+  }
+
   @Test
   void aPlannedRestartAnswersWhatWasTaken() throws Exception {
     try (Peers.Server server = new Peers.Server(line -> null);
