--- a/src/main/java/beamspread/node/DiscoveryClient.java
+++ b/src/main/java/beamspread/node/DiscoveryClient.java
@@ -1,5 +1,6 @@
 package beamspread.node;
 
+import beamspread.loop.SocketLook;
 import beamspread.sim.Message;
 import beamspread.sim.WireException;
 import io.netty.bootstrap.Bootstrap;
@@ -33,14 +34,19 @@
 final class DiscoveryClient {
   private static final String PATH = "/catalog/members";
 
+  /** How long a watch that stands may say nothing: it sends at least an empty line every 2 s. */
+  private static final long MAX_SILENCE_MILLIS = 3000;
+
+  /** How long a call's answer may take to begin: discovery lets one wait for up to 2 s. */
+  private static final long MAX_WAIT_MILLIS = 3500;
+
   /**
-   * How long discovery may say nothing: a watch sends at least an empty line every 2 s, and a call
-   * waits in turn for about as long.
+   * What is missed on a silent watch binds 6 s after it fell silent: 3 s until that is noticed, one
+   * connect that hangs, the pause, and a second connect leave one second (design 0012).
    */
-  private static final long MAX_SILENCE_MILLIS = 4500;
+  private static final int CONNECT_TIMEOUT_MILLIS = 800;
 
-  private static final int CONNECT_TIMEOUT_MILLIS = 2000;
-  private static final long RETRY_MILLIS = 500;
+  private static final long RETRY_MILLIS = 400;
 
   /**
    * Least time from one watch to the next, whoever wants one and whatever the settings say. Guards
@@ -48,8 +54,8 @@
    */
   private static final long LEAST_DISTANCE_NANOS = 200_000_000L;
 
-  /** Longest line, for thousands of servers. */
-  private static final int MAX_LINE = 4 << 20;
+  /** Longest list, for thousands of servers. */
+  private static final int MAX_LIST = 4 << 20;
 
   private final EventLoop loop;
   private final Bootstrap bootstrap;
@@ -65,6 +71,10 @@
   private boolean anew;
 
   private Call watch;
+
+  /** The one call beside the watch, for the whole list that the watch has not told. */
+  private Call reading;
+
   private long followedAt = System.nanoTime() - LEAST_DISTANCE_NANOS;
 
   /** Whether a watch is to begin as soon as its distance from the last one allows. */
@@ -107,6 +117,8 @@
 
   /** Follows the service at another address from now on; until it answers, the list stays. */
   void move(SocketAddress to) {
+    // At once: what the old one still says must not pass for the new one's.
+    stop();
     address = to;
     anew = true;
     follow();
@@ -119,20 +131,53 @@
       watch.end();
       watch = null;
     }
+    stopReading();
+  }
+
+  private void stopReading() {
+    if (reading != null) {
+      reading.end();
+      reading = null;
+    }
   }
 
-  /** Asks once for the whole list. */
+  /** Asks once for the whole list; a call for it that is out already is enough. */
   private void readOnce() {
-    new Call(false);
+    if (reading == null) {
+      reading = new Call(false);
+    }
+  }
+
+  /** Asks for the whole list again, as long as it is missing and the watch that lacks it stands. */
+  private void readAgain() {
+    reading = null;
+    Call since = watch;
+    loop.schedule(
+        () -> {
+          if (anew && watch != null && watch == since) {
+            readOnce();
+          }
+        },
+        RETRY_MILLIS,
+        TimeUnit.MILLISECONDS);
   }
 
   private void failed(Call call, String why) {
-    if (call == watch) {
-      watch = null;
+    if (call == reading) {
+      // The watch stands and tells all changes: the list has not failed.
+      dispatcher.listTrouble(why);
+      readAgain();
+      return;
+    }
+    if (call != watch) {
+      return;
     }
+    watch = null;
+    stopReading();
     if (asked) {
       dispatcher.listFailed(why);
     } else {
+      dispatcher.listTrouble(why);
       loop.schedule(
           () -> {
             if (watch == null) {
@@ -147,11 +192,16 @@
   /** One call and its answer. */
   private final class Call extends SimpleChannelInboundHandler<HttpObject> {
     private final boolean follows;
-    private final ByteBuf line = Unpooled.buffer();
+    private final ByteBuf text = Unpooled.buffer();
+    private final ObjectScan scan = new ObjectScan();
     private final SocketAddress peer = address;
     private final boolean whole = anew;
     private final Channel channel;
     private long heardAt = System.nanoTime();
+
+    /** Whether its answer has begun. */
+    private boolean answered;
+
     private boolean over;
 
     Call(boolean follows) {
@@ -197,17 +247,32 @@
 
     /** Guards against discovery falling silent, where its connections stay open. */
     private void listen() {
-      loop.schedule(
-          () -> {
-            long silent = (System.nanoTime() - heardAt) / 1_000_000;
-            if (silent >= MAX_SILENCE_MILLIS) {
-              fail("silent");
-            } else if (!over) {
-              listen();
-            }
-          },
-          MAX_SILENCE_MILLIS / 8,
-          TimeUnit.MILLISECONDS);
+      loop.schedule(this::notice, heardAt + patience() - System.nanoTime(), TimeUnit.NANOSECONDS);
+    }
+
+    private long patience() {
+      return (answered && follows ? MAX_SILENCE_MILLIS : MAX_WAIT_MILLIS) * 1_000_000L;
+    }
+
+    private void notice() {
+      if (over) {
+        return;
+      }
+      if (silent()) {
+        // It may have spoken while this node did not run: the timer is due before the socket is
+        // looked at.
+        SocketLook.read(channel);
+        if (!over && silent()) {
+          fail("silent");
+        }
+      }
+      if (!over) {
+        listen();
+      }
+    }
+
+    private boolean silent() {
+      return System.nanoTime() - heardAt >= patience();
     }
 
     @Override
@@ -217,6 +282,7 @@
         return;
       }
       heardAt = System.nanoTime();
+      answered = true;
       if (message.decoderResult().isFailure()) {
         fail("malformed answer");
         return;
@@ -227,55 +293,95 @@
         return;
       }
       if (message instanceof HttpContent content) {
-        take(content.content());
-        if (message instanceof LastHttpContent && !over) {
-          if (follows) {
-            fail("watch ended");
-          } else {
-            end();
-            list(line);
-          }
+        boolean last = message instanceof LastHttpContent;
+        if (follows) {
+          follow(content.content());
+        } else {
+          read(content.content(), last);
+        }
+        if (last && !over) {
+          fail("watch ended");
         }
       }
     }
 
-    private void take(ByteBuf bytes) throws WireException {
-      line.writeBytes(bytes);
-      while (follows && !over) {
-        int length = line.bytesBefore((byte) '\n');
-        if (length < 0) {
+    /** Takes in what a watch tells: one object after the other, each on one line or on several. */
+    private void follow(ByteBuf bytes) throws WireException {
+      int begun = text.writerIndex();
+      keep(bytes);
+      while (!over) {
+        int end = scanned(begun);
+        if (end < 0) {
           break;
         }
-        list(line.readSlice(length));
-        line.skipBytes(1);
+        list(text.readSlice(end - text.readerIndex()));
+        begun = end;
       }
-      line.discardReadBytes();
-      if (line.readableBytes() > MAX_LINE) {
-        throw new WireException("line too long");
+      if (scan.between()) {
+        text.clear();
       }
+      text.discardReadBytes();
     }
 
-    private void list(ByteBuf text) throws WireException {
-      String json = text.toString(StandardCharsets.UTF_8);
-      if (!json.isBlank()) {
-        MemberList list;
-        try {
-          list = MemberList.parse(Message.parse(json));
-        } catch (WireException e) {
-          anew = true;
-          throw e;
-        }
-        version = list.version();
-        if (list.full()) {
-          anew = false;
-        } else if (whole && anew) {
-          // It tells changes although it was asked for all: what it leaves out may have gone.
-          readOnce();
+    /** Takes in the answer to a call for the whole list. */
+    private void read(ByteBuf bytes, boolean last) throws WireException {
+      keep(bytes);
+      if (last) {
+        end();
+        MemberList list = parse(text);
+        if (list.version() < version) {
+          // Older than what the watch has told since: it would take servers back.
+          readAgain();
+          return;
         }
-        dispatcher.list(list);
+        reading = null;
+        take(list);
       }
     }
 
+    private int scanned(int from) throws WireException {
+      try {
+        return scan.end(text, from);
+      } catch (WireException e) {
+        anew = true;
+        throw e;
+      }
+    }
+
+    private void keep(ByteBuf bytes) throws WireException {
+      if (text.readableBytes() + bytes.readableBytes() > MAX_LIST) {
+        throw new WireException("list too long");
+      }
+      text.writeBytes(bytes);
+    }
+
+    private MemberList parse(ByteBuf object) throws WireException {
+      try {
+        return MemberList.parse(Message.parse(object.toString(StandardCharsets.UTF_8)));
+      } catch (WireException e) {
+        anew = true;
+        throw e;
+      }
+    }
+
+    private void list(ByteBuf object) throws WireException {
+      MemberList list = parse(object);
+      boolean counted = version <= list.version();
+      take(list);
+      if (!list.full() && (anew || !counted)) {
+        // It tells changes where the whole was asked for, or counts anew: what it leaves out may
+        // have gone.
+        anew = true;
+        readOnce();
+      }
+    }
+
+    private void take(MemberList list) {
+      version = list.version();
+      anew &= !list.full();
+      dispatcher.list(list);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
       fail("connection ended");
--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -31,6 +31,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -49,6 +50,14 @@
    */
   private static final long ANSWER_MARGIN_NANOS = 2_000_000;
 
+  /** The part of the time for a connect that the way of one command takes: a third is one trip. */
+  private static final int WAY_PART = 3;
+
+  private static final long TELL_AGAIN_NANOS = 60_000_000_000L;
+
+  /** Troubles of the list that are remembered. */
+  private static final int TROUBLES = 64;
+
   /** How often requests are looked through for overdue ones after the module has failed. */
   private static final long RESCUE_MILLIS = 10;
 
@@ -75,6 +84,8 @@
   /** Requests that are taken and have no final answer, and whose clients are still there. */
   private int unanswered;
 
+  private final Map<String, Settings.ServiceClass> types = new HashMap<>();
+
   /** The classes whose requests may not be repeated at will. */
   private final Set<String> guarded = new HashSet<>();
 
@@ -84,6 +95,22 @@
   private NodeConfig config;
   private int heldByOthers;
   private boolean telling;
+
+  /** When each trouble of the list was last told. */
+  private final Map<String, Long> toldAt =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > TROUBLES;
+        }
+      };
+
+  /** When this process gives its last answers, on the clock of {@link System#nanoTime()}. */
+  private long endsAt;
+
+  private boolean ends;
   private boolean rescuing;
   private long rescueUntil;
 
@@ -110,6 +137,7 @@
             new SplittableRandom(config.seed())::nextDouble,
             this);
     for (Settings.ServiceClass service : settings.services()) {
+      types.put(service.name(), service);
       if (service.effect() != Settings.Effect.SAFE) {
         guarded.add(service.name());
       }
@@ -177,6 +205,21 @@
     config = changed;
   }
 
+  /**
+   * This process ends soon: whatever is open by then is answered, however long its client would
+   * still wait, since nothing else ever answers it.
+   *
+   * @param at on the clock of {@link System#nanoTime()}
+   */
+  void endBy(long at) {
+    endsAt = at;
+    ends = true;
+    loop.schedule(
+        () -> List.copyOf(open.values()).forEach(this::fail),
+        at - System.nanoTime(),
+        TimeUnit.NANOSECONDS);
+  }
+
   /**
    * Leaves other processes of this node what they hold: sockets to cache servers, and open
    * requests, since clients have connections for so many together. A third stays, lest nothing be
@@ -297,9 +340,13 @@
     // Longer than the longest deadline no client waits, and no restart.
     long wait = Math.min(longestDeadlineNanos, (long) (command.request.budget() * 1e9));
     long now = System.nanoTime();
+    if (ends) {
+      wait = Math.max(0, Math.min(wait, endsAt - now));
+    }
     long held = reserve.nanos(now, wait);
     OpenRequest request = new OpenRequest(command, slot, now, now + wait - held);
-    Request known = held == 0 ? command.request : command.request.within((wait - held) / 1e9);
+    Request known =
+        held == 0 && !ends ? command.request : command.request.within((wait - held) / 1e9);
     open.put(request.id(), request);
     unanswered++;
     if (tally != null) {
@@ -355,6 +402,7 @@
     if (attempt.timeout != null) {
       attempt.timeout.cancel(false);
     }
+    attempt.mayHaveRun = !result.provesNotRun();
     OpenRequest request = attempt.request;
     double elapsed = (System.nanoTime() - attempt.sentAt) / 1e9;
     tell(
@@ -455,11 +503,22 @@
   // What discovery says.
 
   void list(MemberList list) {
+    list.faults().forEach(this::listTrouble);
     targets.list(list, list.full() ? MembershipUpdate.Kind.FULL : MembershipUpdate.Kind.CHANGES);
   }
 
+  /** Something is wrong with the list or with a call for it; told once a minute by its kind. */
+  void listTrouble(String why) {
+    long now = System.nanoTime();
+    Long before = toldAt.get(why);
+    if (before == null || now - before > TELL_AGAIN_NANOS) {
+      toldAt.put(why, now);
+      log.line("discovery: " + why);
+    }
+  }
+
   void listFailed(String why) {
-    log.line("discovery: " + why);
+    listTrouble(why);
     tell(
         now ->
             balancer.membership(
@@ -484,7 +543,8 @@
             request.attempts.size(),
             server,
             deadline,
-            guarded.contains(request.command.request.serviceClass()));
+            guarded.contains(request.command.request.serviceClass()),
+            repeatableUntil(request));
     request.attempts.add(attempt);
     request.out++;
     if (tally != null) {
@@ -499,6 +559,25 @@
     pools.send(attempt);
   }
 
+  /**
+   * Until when one more attempt of a request may begin. Guards against an effect carried out twice:
+   * the module reckons with the time that a connection takes to come up, but an attempt may wait
+   * for one for longer, and by then servers have forgotten the first.
+   */
+  private long repeatableUntil(OpenRequest request) {
+    Settings.ServiceClass type = types.get(request.command.request.serviceClass());
+    if (type.effect() != Settings.Effect.KEYED) {
+      return RequestAttempt.ANY_TIME;
+    }
+    for (RequestAttempt earlier : request.attempts) {
+      if (earlier.mayHaveRun) {
+        double window = type.repeatWindow() - settings.limits().connectTimeout() / WAY_PART;
+        return earlier.sentAt + (long) (Math.max(0, window) * 1e9);
+      }
+    }
+    return RequestAttempt.ANY_TIME;
+  }
+
   /**
    * An attempt's time is over. Guards against giving up one whose answer has come while this node
    * did not run: the timer is due before the loop has looked at the socket.
--- a/src/main/java/beamspread/node/MemberList.java
+++ b/src/main/java/beamspread/node/MemberList.java
@@ -19,19 +19,26 @@
  * @param full whether it is the whole list
  * @param version its version
  * @param members its lines
+ * @param faults what can't be worked with in them, in words for operators
  */
-record MemberList(boolean full, long version, List<Member> members) {
+record MemberList(boolean full, long version, List<Member> members, List<String> faults) {
+
+  MemberList(boolean full, long version, List<Member> members) {
+    this(full, version, members, List.of());
+  }
 
   /**
    * One cache server.
    *
    * @param entry what the decision module is told of it
-   * @param address where this node reaches it; null for one that has left
+   * @param address where this node reaches it; null for one that has left, or whose address can't
+   *     be read
    */
   record Member(ServerEntry entry, SocketAddress address) {}
 
   static MemberList parse(Message list) throws WireException {
     List<Member> members = new ArrayList<>();
+    List<String> faults = new ArrayList<>();
     for (Message line : list.requiredObjects("servers")) {
       ServerEntry.State state =
           switch (line.requiredText("state")) {
@@ -39,6 +46,16 @@
             case "left" -> ServerEntry.State.GONE;
             default -> ServerEntry.State.DRAINING;
           };
+      SocketAddress address = null;
+      if (state != ServerEntry.State.GONE) {
+        String text = line.requiredText("addr");
+        try {
+          address = address(text);
+        } catch (WireException e) {
+          // One bad line keeps none of the others back.
+          faults.add("server " + line.requiredText("id") + ": addr: " + e.getMessage());
+        }
+      }
       members.add(
           new Member(
               new ServerEntry(
@@ -49,9 +66,13 @@
                   state,
                   line.number("weight", 1),
                   line.number("started_ms", 0) / 1e3),
-              state == ServerEntry.State.GONE ? null : address(line.requiredText("addr"))));
+              address));
+    }
+    if (!faults.isEmpty() && faults.size() == members.size()) {
+      throw new WireException(faults.get(0));
     }
-    return new MemberList(list.flag("full"), (long) list.requiredNumber("version"), members);
+    return new MemberList(
+        list.flag("full"), (long) list.requiredNumber("version"), members, faults);
   }
 
   /**
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -38,6 +38,15 @@
   /** New connections go on coming for so long after a planned restart has begun. */
   private static final long ACCEPT_MILLIS = 500;
 
+  /**
+   * Longest deadline that a planned restart waits for: the platform ends a node 0.7 s later at the
+   * latest, however long its clients would wait.
+   */
+  private static final double LONGEST_STOP = 3;
+
+  /** The last answers are given so long before this process ends, for what carries them out. */
+  private static final long LAST_ANSWERS_NANOS = 50_000_000L;
+
   /** Rounds of up to 16 connections that are accepted before the listener closes. */
   private static final int ACCEPT_ROUNDS = 16;
 
@@ -65,7 +74,7 @@
   private final Log log;
   private final LoopWatch watch;
   private final CountDownLatch drained = new CountDownLatch(1);
-  private Channel listener;
+  private volatile Channel listener;
   private StatusSocket statusSocket;
   private SharedFolder shared;
   private OperatorCalls operators;
@@ -181,6 +190,8 @@
     Rehearsal.run(config, log);
     Node node = new Node(config);
     node.shared = shared;
+    // Before anybody can be answered here: whoever has been is owed an end in order.
+    Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
     if (config.statusSocket() != null) {
       String digest = digest(bytes);
       node.configuration = new NodeStatus.Configuration(1, digest, 1, digest, null, false);
@@ -205,7 +216,6 @@
     if (tally) {
       node.loop.execute(() -> node.dispatcher.tally(node.clients::count));
     }
-    Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
     node.drained.await();
     return 0;
   }
@@ -242,9 +252,10 @@
                     accept(channel);
                   }
                 })
-            .bind(config.listen())
-            .await();
-    if (!bound.isSuccess()) {
+            .bind(config.listen());
+    // On the loop, before the first client is accepted: a restart that begins now finds it.
+    bound.addListener(done -> listening(bound.channel(), done.isSuccess()));
+    if (!bound.await().isSuccess()) {
       throw new IOException(bound.cause().getMessage());
     }
     listener = bound.channel();
@@ -270,6 +281,14 @@
     return listener.localAddress();
   }
 
+  private void listening(Channel channel, boolean up) {
+    if (up && draining) {
+      channel.close();
+    } else if (up) {
+      listener = channel;
+    }
+  }
+
   private OperatorCalls.Holdings holdings() {
     return new OperatorCalls.Holdings() {
       @Override
@@ -355,8 +374,13 @@
    * it falls idle; returns when all is answered, or when the longest deadline has passed.
    */
   void drain() {
-    long millis = (long) (config.longestDeadline() * 1e3) + ACCEPT_MILLIS + 100;
+    double longest = Math.min(LONGEST_STOP, config.longestDeadline());
+    long millis = (long) (longest * 1e3) + ACCEPT_MILLIS + 100;
     long until = System.nanoTime() + millis * 1_000_000L;
+    if (group.isShuttingDown()) {
+      // It has never listened, or has ended already.
+      return;
+    }
     loop.execute(() -> beginDrain(until));
     try {
       drained.await(millis, TimeUnit.MILLISECONDS);
@@ -380,7 +404,16 @@
   }
 
   private void beginDrain(long until) {
+    if (draining) {
+      return;
+    }
     draining = true;
+    if (listener == null) {
+      // It does not listen yet: nothing was taken.
+      drained.countDown();
+      return;
+    }
+    dispatcher.endBy(until - LAST_ANSWERS_NANOS);
     boolean successor = false;
     if (operators != null) {
       operators.takes(false);
@@ -444,6 +477,11 @@
     return dispatcher.pools().sockets();
   }
 
+  /** How many servers the list names. */
+  int servers() {
+    return dispatcher.targets().detachments().listed();
+  }
+
   int openRequests() {
     return dispatcher.openRequests();
   }
--- a/src/main/java/beamspread/node/NodeConfig.java
+++ b/src/main/java/beamspread/node/NodeConfig.java
@@ -98,6 +98,10 @@
     Message limits = config.requiredNested("limits");
     Message told = config.requiredNested("settings");
     Settings settings = Dialect.settings(told);
+    MemberList known = MemberList.parse(config.requiredNested("known"));
+    if (!known.faults().isEmpty()) {
+      throw new WireException("known: " + String.join("; ", known.faults()));
+    }
     List<String> faults = SettingsCheck.faults(told);
     if (!faults.isEmpty()) {
       throw new WireException("settings: " + String.join("; ", faults));
@@ -110,7 +114,7 @@
         seed(config.requiredText("seed")),
         sockets,
         (int) limits.requiredNumber("memory_mb"),
-        MemberList.parse(config.requiredNested("known")),
+        known,
         settings,
         told,
         pool(settings, sockets, config.text("pool_file", null)),
--- a/src/main/java/beamspread/node/PoolPlan.java
+++ b/src/main/java/beamspread/node/PoolPlan.java
@@ -92,7 +92,8 @@
     // Where a request may not have two attempts out, one that is given up must be off its
     // connection before the next goes out: nothing may share it.
     int depth = limits.parallelAttempts() ? Math.max(1, limits.perConnection()) : 1;
-    double idle = Math.max(1, limits.idleTimeout() / 2);
+    // Well before the server closes it, however soon that is.
+    double idle = limits.idleTimeout() / 2;
     PoolSettings plan =
         new PoolSettings(
             connections,
@@ -104,7 +105,7 @@
             whole("opening_all", OPENING, 1024),
             whole("spare", 0, most),
             figure("free_each", tierPart, Math.max(most, tierPart)),
-            nanos("idle_s", idle, Math.max(1, limits.idleTimeout())),
+            nanos("idle_s", idle, limits.idleTimeout()),
             nanos("age_s", 0, 86_400),
             nanos("suspect_s", SUSPECT_SECONDS, 60),
             nanos("cold_s", settings.contract().warmWithin(), 3600));
--- a/src/main/java/beamspread/node/Targets.java
+++ b/src/main/java/beamspread/node/Targets.java
@@ -4,6 +4,7 @@
 import beamspread.model.MembershipUpdate;
 import beamspread.model.ServerEntry;
 import beamspread.node.server.ServerPools;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -32,34 +33,36 @@
   /** Takes in the list, or changes of it. */
   void list(MemberList list, MembershipUpdate.Kind kind) {
     Set<Long> gone = list.full() ? new HashSet<>(listed.keySet()) : new HashSet<>();
+    List<ServerEntry> entries = new ArrayList<>(list.members().size());
     for (MemberList.Member member : list.members()) {
       long server = member.entry().id();
       if (member.entry().state() == ServerEntry.State.GONE) {
         gone.add(server);
-      } else {
+        entries.add(member.entry());
+      } else if (member.address() != null || listed.containsKey(server)) {
         gone.remove(server);
-        listed.put(server, member);
+        // Where its address can't be read, it is still where it was.
+        listed.merge(server, member, Targets::where);
+        entries.add(member.entry());
       }
     }
     gone.forEach(listed::remove);
     MembershipUpdate told =
-        detachments.overlay(
-            new MembershipUpdate(
-                kind,
-                list.version(),
-                list.members().stream().map(MemberList.Member::entry).toList()));
+        detachments.overlay(new MembershipUpdate(kind, list.version(), entries));
     told.entries().forEach(this::connect);
-    gone.forEach(pools::left);
     module.accept(told);
+    // Once the module knows, so that what waited there is not sent there again.
+    gone.forEach(pools::left);
+    told.entries().forEach(this::disconnect);
+  }
+
+  private static MemberList.Member where(MemberList.Member before, MemberList.Member now) {
+    return now.address() != null ? now : new MemberList.Member(now.entry(), before.address());
   }
 
   /** Gives the pools a server as the module sees it. */
   private void connect(ServerEntry entry) {
-    if (entry.state() == ServerEntry.State.GONE) {
-      return;
-    }
-    if (detachments.isDetached(entry.id())) {
-      pools.left(entry.id());
+    if (entry.state() == ServerEntry.State.GONE || detachments.isDetached(entry.id())) {
       return;
     }
     long started =
@@ -69,6 +72,15 @@
     pools.listed(entry.id(), listed.get(entry.id()).address(), started);
   }
 
+  /** Takes back what waits for a connection to a server that gets nothing new. */
+  private void disconnect(ServerEntry entry) {
+    if (detachments.isDetached(entry.id())) {
+      pools.left(entry.id());
+    } else if (entry.state() == ServerEntry.State.DRAINING) {
+      pools.drains(entry.id());
+    }
+  }
+
   /** What is taken out and what the list names. */
   Detachments detachments() {
     return detachments;
@@ -95,6 +107,7 @@
     if (line != null) {
       connect(line);
       module.accept(new MembershipUpdate(MembershipUpdate.Kind.BY_HAND, 0, List.of(line)));
+      disconnect(line);
     }
   }
 }
--- a/src/main/java/beamspread/node/client/ClientHandler.java
+++ b/src/main/java/beamspread/node/client/ClientHandler.java
@@ -25,9 +25,15 @@
    */
   private static final int MAX_OPEN = 32;
 
-  /** Answers that one connection may be owed before no more is read from it. */
+  /** Answers that one connection may be owed before no more of its commands are taken. */
   private static final int MAX_OWED = 256;
 
+  /** Bytes that wait unread behind so many owed answers before the client is turned away. */
+  private static final int MAX_HELD = 1 << 16;
+
+  /** In a drain, how long a command that has begun to come may take to be whole. */
+  private static final long DRAIN_COMMAND_NANOS = 300_000_000L;
+
   /**
    * Commands in a row that make no sense before the client is turned away. Guards against a peer
    * that speaks another language at full speed; a client with a bug in some requests stays.
@@ -59,9 +65,6 @@
   /** Whether it has asked for anything yet. */
   private boolean spoke;
 
-  /** Whether a drain has ended the reading. */
-  private boolean stopped;
-
   /** Whether a command has come since the last look. */
   private boolean heard;
 
@@ -294,10 +297,44 @@
             });
   }
 
-  /** Reads on only while the client takes its answers and is not owed too many. */
+  /**
+   * Takes commands only while the client is not owed too many, and reads on while it takes its
+   * answers. Where reading is off, a client's close is seen by a look at each sweep, or by the
+   * write that fails: a request that waits here must not go out long after its client has left.
+   */
   private void steer() {
+    boolean crowded = !closing && slots.size() >= MAX_OWED;
     boolean taken = closing ? decoder.mayDiscard() : channel.isWritable();
-    channel.config().setAutoRead(taken && slots.size() < MAX_OWED && !stopped);
+    channel.config().setAutoRead(taken && !crowded);
+    if (decoder.hold(crowded) && !crowded) {
+      // As a task, since this may run within the decoder.
+      channel
+          .eventLoop()
+          .execute(
+              () -> {
+                channel.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
+                channel.pipeline().fireChannelReadComplete();
+              });
+    }
+  }
+
+  /** Sees whether the client has gone, where nothing is read by itself. */
+  private void lookIfUnread() {
+    if (channel.config().isAutoRead() || (!closing && !channel.isWritable())) {
+      return;
+    }
+    // Each look reads one piece only, and the close lies behind the last.
+    for (int before = -1; channel.isActive() && decoder.held() > before; ) {
+      before = decoder.held();
+      SocketLook.read(channel);
+      if (before > MAX_HELD) {
+        break;
+      }
+    }
+    if (channel.isActive() && !closing && decoder.held() > MAX_HELD) {
+      // A close behind still more could not be seen without keeping all of it.
+      turnAway("SERVER_ERROR too many commands");
+    }
   }
 
   @Override
@@ -327,6 +364,9 @@
     connections.busy(this);
     Slot slot = new Slot();
     slots.add(slot);
+    if (slots.size() >= MAX_OWED) {
+      steer();
+    }
     if (command.reply == null
         && slots.size() <= MAX_OPEN
         && connections.mayTake(command.request.budget())) {
@@ -362,7 +402,7 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
-    if (decoder.midway()) {
+    if (decoder.midway() && decoder.held() == 0) {
       midwaySince = midwaySince == 0 ? System.nanoTime() : midwaySince;
       connections.busy(this);
     }
@@ -450,18 +490,13 @@
   }
 
   /**
-   * Takes nothing new: ends now, or when what it has asked for is answered. What the client sends
-   * from here on stays unread until then, and what has come by then is still taken.
+   * Ends now, or as soon as nothing is owed. Until then it reads on: what comes behind an open
+   * request is owed an answer from its last byte on, and a client that leaves has to be heard. What
+   * this node may not live to answer is refused as it comes.
    */
   void drain() {
-    if (lingering || closing) {
-      return;
-    }
-    if (quiet()) {
+    if (!lingering && !closing && quiet()) {
       leave();
-    } else {
-      stopped = !decoder.midway();
-      steer();
     }
   }
 
@@ -477,6 +512,10 @@
    */
   void sweep(long now) {
     ClientConnections.Limits limits = connections.limits();
+    lookIfUnread();
+    if (!channel.isActive()) {
+      return;
+    }
     if (stalledSince != 0 && channel.bytesBeforeWritable() < stalledAt) {
       // It takes what it is given, if slowly.
       stalledSince = now;
@@ -498,7 +537,11 @@
         drop();
       }
     } else if (midwaySince != 0) {
-      if (now - midwaySince > limits.commandNanos() || connections.draining()) {
+      long patience =
+          connections.draining()
+              ? Math.min(DRAIN_COMMAND_NANOS, limits.commandNanos())
+              : limits.commandNanos();
+      if (now - midwaySince > patience) {
         turnAwayIfMidway();
       }
     } else if (quiet()
--- a/src/main/java/beamspread/node/server/Attempt.java
+++ b/src/main/java/beamspread/node/server/Attempt.java
@@ -38,6 +38,11 @@
   /** Whether the request has its final answer, or its client has gone. */
   protected abstract boolean requestEnded();
 
+  /** Whether to write it now could have an effect twice. */
+  protected boolean tooLate(long now) {
+    return false;
+  }
+
   /** Whether its outcome is settled. */
   public final boolean over() {
     return over;
--- a/src/main/java/beamspread/node/server/ServerPools.java
+++ b/src/main/java/beamspread/node/server/ServerPools.java
@@ -57,6 +57,11 @@
     pools.listed(server, before != null && !before.equals(address), startedAt);
   }
 
+  /** A server drains: what still waits for a connection to it goes elsewhere. */
+  public void drains(long server) {
+    pools.drains(server);
+  }
+
   /** A server has left. */
   public void left(long server) {
     if (servers.remove(server) != null) {
@@ -149,6 +154,10 @@
       outcomes.ended(attempt, Outcome.Result.MOOT);
       return false;
     }
+    if (attempt.tooLate(System.nanoTime())) {
+      outcomes.ended(attempt, Outcome.Result.CONNECT_FAILED);
+      return false;
+    }
     links.get(link).write(attempt);
     return true;
   }
--- a/src/main/java/beamspread/node/wire/MetaCommand.java
+++ b/src/main/java/beamspread/node/wire/MetaCommand.java
@@ -105,6 +105,7 @@
     private int missing;
     private boolean lost;
     private int discarded;
+    private boolean holding;
 
     public Decoder(MemoryBudget budget, List<Settings.ServiceClass> services) {
       this.budget = budget;
@@ -116,9 +117,22 @@
       return !lost && (write != null || actualReadableBytes() > 0);
     }
 
+    /** Keeps what comes as it is, or reads on; whether it kept anything back until now. */
+    public boolean hold(boolean on) {
+      boolean kept = holding && actualReadableBytes() > 0;
+      holding = on;
+      return kept;
+    }
+
+    /** Bytes that are kept back. */
+    public int held() {
+      return holding ? actualReadableBytes() : 0;
+    }
+
     /** Reads no more commands: what comes is dropped. */
     public void giveUp() {
       lost = true;
+      holding = false;
       dropWrite();
     }
 
@@ -134,6 +148,9 @@
         in.skipBytes(in.readableBytes());
         return;
       }
+      if (holding) {
+        return;
+      }
       try {
         if (write != null) {
           readValue(in, out);
@@ -153,6 +170,13 @@
       }
     }
 
+    /** Whether more is read is decided behind this reader alone, also where nothing was whole. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+      discardSomeReadBytes();
+      ctx.fireChannelReadComplete();
+    }
+
     private void readValue(ByteBuf in, List<Object> out) throws MetaLine.MalformedException {
       int bytes = Math.min(in.readableBytes(), missing - 2);
       if (bytes > 0) {
--- a/src/main/java/beamspread/pool/Pools.java
+++ b/src/main/java/beamspread/pool/Pools.java
@@ -94,6 +94,17 @@
     return new ServerLinks<>(server, this);
   }
 
+  /**
+   * A server drains. Guards against an attempt that was decided before and waits for a connection
+   * for longer than the grace: a send counts from its first byte.
+   */
+  public void drains(long server) {
+    ServerLinks<A> links = servers.get(server);
+    if (links != null) {
+      links.failWaiting();
+    }
+  }
+
   /** A server has left: what is under way may end, and nothing new begins. */
   public void left(long server) {
     ServerLinks<A> gone = servers.remove(server);
--- a/src/main/java/beamspread/pool/ServerLinks.java
+++ b/src/main/java/beamspread/pool/ServerLinks.java
@@ -355,7 +355,8 @@
     }
   }
 
-  private void failWaiting() {
+  /** Whatever waits for a connection here is told that there is none. */
+  void failWaiting() {
     List<Waiting<A>> all = List.copyOf(waiting);
     waiting.clear();
     all.forEach(one -> pools.actions().unreachable(one.attempt()));
--- a/src/test/java/beamspread/node/ClosesTest.java
+++ b/src/test/java/beamspread/node/ClosesTest.java
@@ -7,19 +7,8 @@
 
 import beamspread.LeakCheck;
 import beamspread.node.client.ClientConnections;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.util.ReferenceCountUtil;
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
 
@@ -33,58 +22,6 @@
     return new ClientConnections.Limits(connections, command, idle, idle, LONG, LONG);
   }
 
-  /**
-   * Holds a node's event loop within its look at the sockets, by a connection of its own, until all
-   * that is due within the given time has become so: that runs next, before the sockets are looked
-   * at again. What is sent meanwhile lies there when it is decided.
-   */
-  private static final class Hold implements AutoCloseable {
-    private final CountDownLatch held = new CountDownLatch(1);
-    private final ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-    private final Socket peer;
-    private final Channel channel;
-
-    Hold(Node node, long nanos) throws IOException, InterruptedException {
-      CountDownLatch begun = new CountDownLatch(1);
-      channel =
-          new Bootstrap()
-              .group(node.loop())
-              .channel(NioSocketChannel.class)
-              .handler(
-                  new ChannelInboundHandlerAdapter() {
-                    @Override
-                    public void channelRead(ChannelHandlerContext ctx, Object message)
-                        throws InterruptedException {
-                      ReferenceCountUtil.release(message);
-                      begun.countDown();
-                      held.await();
-                    }
-                  })
-              .connect(listener.getLocalSocketAddress())
-              .sync()
-              .channel();
-      peer = listener.accept();
-      peer.getOutputStream().write(1);
-      begun.await();
-      long until = System.nanoTime() + nanos;
-      while (System.nanoTime() - until < 0) {
-        Thread.sleep(10);
-      }
-    }
-
-    void release() {
-      held.countDown();
-    }
-
-    @Override
-    public void close() throws IOException {
-      release();
-      channel.close();
-      peer.close();
-      listener.close();
-    }
-  }
-
   private static void closeAll(List<Peers.Client> clients) throws Exception {
     for (Peers.Client client : clients) {
       client.close();
--- /dev/null
+++ b/src/test/java/beamspread/node/EndingsTest.java
@@ -0,0 +1,227 @@
+package beamspread.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beamspread.LeakCheck;
+import beamspread.model.Settings;
+import beamspread.node.client.ClientConnections;
+import beamspread.pool.PoolSettings;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
+
+/** The instants in which something is still owed: by a node that ends, a window, a grace. */
+@ExtendWith(LeakCheck.class)
+class EndingsTest {
+  private static final long FOREVER = 20_000_000_000L;
+
+  /** One connection to each server, and one attempt on it. */
+  private static final PoolSettings ONE =
+      new PoolSettings(1, 0, 0, 1, 8, 1, 8, 0, 8, FOREVER, 0, FOREVER, 1);
+
+  private static Settings settings(double connectTimeout, Settings.ServiceClass... classes) {
+    return Peers.settings(
+        new Settings.Limits(6, false, true, false, false, false, 1, connectTimeout, 60, 1, 20000),
+        false,
+        List.of(classes));
+  }
+
+  private static Settings.ServiceClass read(double deadline) {
+    return Peers.service("read", Settings.Effect.SAFE, deadline / 2, deadline);
+  }
+
+  private static Thread drain(Peers.Rig rig) {
+    Thread drain = new Thread(rig.node::drain);
+    drain.start();
+    return drain;
+  }
+
+  private static long outOf(Peers.Server server, String id) {
+    return server.lines.stream().filter(line -> line.contains(" O" + id + " ")).count();
+  }
+
+  /**
+   * The platform ends a node 3.7 s after it was told to, whatever the settings let clients wait.
+   */
+  @Test
+  void aStopAnswersRequestsOfLongDeadlinesBeforeItIsKilled() throws Exception {
+    Settings settings = settings(1, read(30));
+    try (Peers.Server server = new Peers.Server(line -> null);
+        Peers.Rig rig =
+            new Peers.Rig(
+                settings, Peers.pool(settings, 256), new Peers.Server(line -> null), server);
+        Peers.Client before = rig.client();
+        Peers.Client after = rig.client()) {
+      before.send("mg a v O1 Pc=read,d=30000\r\n");
+      Peers.await("it goes out", () -> server.lines.size() == 1);
+      long began = System.nanoTime();
+      Thread drain = drain(rig);
+      Peers.await("the drain waits", () -> drain.getState() == Thread.State.TIMED_WAITING);
+      rig.node.loop().submit(() -> {}).sync();
+      after.send("mg b v O2 Pc=read,d=30000\r\n");
+      assertEquals("SERVER_ERROR failed", before.line());
+      String late = after.line();
+      assertNotNull(late, "no answer");
+      assertTrue(late.startsWith("SERVER_ERROR"), late);
+      drain.join();
+      long millis = (System.nanoTime() - began) / 1_000_000;
+      assertTrue(millis < 12_000, "ended after " + millis + " ms of 30 s");
+    }
+  }
+
+  @Test
+  void aNodeThatDoesNotListenYetEndsAtOnce() throws Exception {
+    Settings settings = settings(1, read(10));
+    try (Peers.Server discovery = new Peers.Server(line -> null)) {
+      Node node =
+          new Node(
+              new NodeConfig(
+                  new java.net.InetSocketAddress("127.0.0.1", 0),
+                  discovery.address(),
+                  1,
+                  256,
+                  64,
+                  new MemberList(true, 1, List.of()),
+                  settings,
+                  null,
+                  Peers.pool(settings, 256),
+                  "rig",
+                  false,
+                  null,
+                  null,
+                  null),
+              ClientConnections.Limits.usual(16),
+              Transport.TCP);
+      try {
+        Thread drain = new Thread(node::drain);
+        drain.start();
+        drain.join(3_000);
+        assertFalse(drain.isAlive(), "nothing was taken, and it waits");
+      } finally {
+        node.close();
+      }
+    }
+  }
+
+  /** Its repeat waits for the one connection until servers have forgotten the first. */
+  @Test
+  void aKeyedWriteIsNotRepeatedOnceItsWindowIsOver() throws Exception {
+    Settings.ServiceClass keyed =
+        new Settings.ServiceClass(
+            "keyed", 5, 0, 10, 1, 0, Settings.Effect.KEYED, Settings.Group.ALL, 1.5, false);
+    try (Peers.Server server = new Peers.Server(line -> null);
+        Peers.Rig rig =
+            new Peers.Rig(
+                settings(0.3, read(20), keyed), ONE, new Peers.Server(line -> null), server);
+        Peers.Client writer = rig.client();
+        Peers.Client reader = rig.client()) {
+      writer.send("ms a 5 O1 Pc=keyed,d=10000,k=77\r\nworld\r\n");
+      Peers.await("the write goes out", () -> outOf(server, "1") == 1);
+      long first = System.nanoTime();
+      reader.send("mg b v O2 Pc=read,d=20000\r\n");
+      Peers.await("the read waits behind it", () -> rig.node.openRequests() == 2);
+      server.breakOne(server.lines.get(0));
+      Peers.await("the read goes first", () -> outOf(server, "2") == 1);
+      assertTrue(System.nanoTime() - first < 1_100_000_000L, "slower than the window");
+      Peers.await("the window is over", () -> System.nanoTime() - first > 1_600_000_000L);
+      String read = server.lines.get(1);
+      server.script = Peers::good;
+      server.send(read, Peers.good(read));
+      assertEquals("VA 5 O2", reader.line());
+      assertEquals("SERVER_ERROR busy", writer.line());
+      assertEquals(1, outOf(server, "1"), "carried out twice");
+    }
+  }
+
+  /** What was decided before the drain waits for a connection past the grace. */
+  @Test
+  void nothingThatWaitedIsSentToAServerThatDrains() throws Exception {
+    try (Peers.Server drains = new Peers.Server(line -> null);
+        Peers.Server stays = new Peers.Server(Peers::good);
+        Peers.Server discovery =
+            new Peers.Server(line -> line.startsWith("GET ") ? Peers.WATCH : null);
+        Peers.Rig rig = new Peers.Rig(settings(1, read(20)), ONE, discovery, drains);
+        Peers.Client first = rig.client();
+        Peers.Client second = rig.client()) {
+      first.send("mg a v O1 Pc=read,d=20000\r\n");
+      Peers.await("the first goes out", () -> outOf(drains, "1") == 1);
+      second.send("mg b v O2 Pc=read,d=20000\r\n");
+      Peers.await("the second waits", () -> rig.node.openRequests() == 2);
+      Peers.await("a watch", () -> !discovery.lines.isEmpty());
+      String list = Peers.list(2, drains, stays).replaceFirst("active", "leaving");
+      discovery.send(0, Peers.chunk(list + "\n"));
+      // At once, not when the connection falls free.
+      assertEquals("VA 5 O2", second.line());
+      assertEquals(1, outOf(stays, "2"));
+      drains.send(drains.lines.get(0), Peers.good(drains.lines.get(0)));
+      assertEquals("VA 5 O1", first.line());
+      assertEquals(0, outOf(drains, "2"));
+    }
+  }
+
+  /** A time-out while it waits for a connection: it has never run, and may be refused. */
+  @Test
+  void aWriteThatWasNeverWrittenIsRefused() throws Exception {
+    Settings.ServiceClass put = Peers.service("put", Settings.Effect.UNSAFE, 0.5, 1);
+    try (Peers.Server server = new Peers.Server(line -> null);
+        Peers.Rig rig =
+            new Peers.Rig(
+                settings(0.3, read(20), put), ONE, new Peers.Server(line -> null), server);
+        Peers.Client reader = rig.client();
+        Peers.Client writer = rig.client()) {
+      reader.send("mg a v O1 Pc=read,d=20000\r\n");
+      Peers.await("the read goes out", () -> outOf(server, "1") == 1);
+      writer.send("ms b 5 O2 Pc=put,d=1000\r\nworld\r\n");
+      assertEquals("SERVER_ERROR busy", writer.line());
+      server.send(server.lines.get(0), Peers.good(server.lines.get(0)));
+      assertEquals("VA 5 O1", reader.line());
+      assertEquals(0, outOf(server, "2"));
+    }
+  }
+
+  /** The other order: it was written, and what became of it is not known. */
+  @Test
+  void aWriteThatWasWrittenIsNotRefused() throws Exception {
+    Settings.ServiceClass put = Peers.service("put", Settings.Effect.UNSAFE, 0.5, 1);
+    try (Peers.Server server = new Peers.Server(line -> null);
+        Peers.Rig rig =
+            new Peers.Rig(
+                settings(0.3, read(20), put), ONE, new Peers.Server(line -> null), server);
+        Peers.Client writer = rig.client()) {
+      writer.send("ms b 5 O2 Pc=put,d=1000\r\nworld\r\n");
+      assertEquals("SERVER_ERROR failed", writer.line());
+      assertEquals(1, outOf(server, "2"));
+    }
+  }
+
+  /** What a client sends behind an open request in a drain is answered from its arrival on. */
+  @Test
+  void whatComesBehindAnOpenRequestInADrainDoesNotWaitForIt() throws Exception {
+    Settings settings = settings(1, read(10));
+    try (Peers.Server server = new Peers.Server(line -> null);
+        Peers.Rig rig =
+            new Peers.Rig(
+                settings, Peers.pool(settings, 256), new Peers.Server(line -> null), server);
+        Peers.Client client = rig.client()) {
+      client.send("mg a v O1 Pc=read,d=10000\r\n");
+      Peers.await("the first goes out", () -> outOf(server, "1") == 1);
+      Thread drain = drain(rig);
+      Peers.await("the drain has begun", () -> rig.node.drainsClients());
+      client.send("mg b v O2 Pc=read,d=1500\r\n");
+      Peers.await("it goes out while the first is open", () -> outOf(server, "2") == 1);
+      for (String line : List.copyOf(server.lines)) {
+        server.send(line, Peers.good(line));
+      }
+      assertEquals("VA 5 O1", client.line());
+      assertEquals("hello", client.line());
+      assertEquals("VA 5 O2", client.line());
+      assertEquals("hello", client.line());
+      assertNull(client.line());
+      drain.join();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/beamspread/node/LeavingClientsTest.java
@@ -0,0 +1,192 @@
+package beamspread.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beamspread.LeakCheck;
+import beamspread.model.Settings;
+import beamspread.pool.PoolSettings;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
+
+/**
+ * Clients that leave while their requests wait here: nothing of these goes out afterwards. In each
+ * test a request of the same kind that was taken later, and whose client has stayed, goes out in
+ * the end, so that the other would have gone before it.
+ */
+@ExtendWith(LeakCheck.class)
+class LeavingClientsTest {
+  private static final List<Settings.ServiceClass> READS =
+      List.of(Peers.service("read", Settings.Effect.SAFE, 4, 10));
+
+  private static Settings settings(boolean parallel, boolean cancel) {
+    return Peers.settings(
+        new Settings.Limits(6, parallel, cancel, false, false, false, 1, 2, 60, 32, 20000),
+        false,
+        READS);
+  }
+
+  private static Peers.Rig rig(Settings settings, Peers.Server server) throws Exception {
+    return new Peers.Rig(
+        settings, Peers.pool(settings, 256), new Peers.Server(line -> null), server);
+  }
+
+  /** A read of the one key that all ask for here. */
+  private static String same(String id) {
+    return "mg same v O" + id + " Pc=read,d=10000\r\n";
+  }
+
+  /** One request is out, two wait for what comes of it, the first of them on the given client. */
+  private static void followers(
+      Peers.Rig rig,
+      Peers.Server server,
+      Peers.Client first,
+      Peers.Client leaves,
+      Peers.Client then)
+      throws Exception {
+    first.send(same("1"));
+    Peers.await("the first goes out", () -> server.lines.size() == 1);
+    leaves.send(same("2"));
+    Peers.await("the second is held", () -> rig.node.openRequests() == 2);
+    then.send(same("3"));
+    Peers.await("the third is held", () -> rig.node.openRequests() == 3);
+    assertEquals(1, server.lines.size());
+  }
+
+  private static boolean wentOut(Peers.Server server, String id) {
+    return server.lines.stream().anyMatch(line -> line.contains(" O" + id + " "));
+  }
+
+  private static void onlyTheThird(Peers.Server server) throws Exception {
+    Peers.await("the one whose client stays goes out", () -> wentOut(server, "3"));
+    assertFalse(wentOut(server, "2"), "sent on for a client that had left");
+  }
+
+  private interface Leave {
+    void leave(Peers.Client client) throws Exception;
+  }
+
+  private static void inADrain(Leave leave) throws Exception {
+    try (Peers.Server server = new Peers.Server(line -> null);
+        Peers.Rig rig = rig(settings(true, true), server);
+        Peers.Client first = rig.client();
+        Peers.Client leaves = rig.client();
+        Peers.Client then = rig.client()) {
+      followers(rig, server, first, leaves, then);
+      Thread drain = new Thread(rig.node::drain);
+      drain.start();
+      Peers.await("the drain has begun", () -> rig.node.drainsClients());
+      assertEquals(1, server.lines.size(), "slower than what is held waits");
+      leave.leave(leaves);
+      onlyTheThird(server);
+      drain.join();
+    }
+  }
+
+  @Test
+  void oneThatClosesInADrain() throws Exception {
+    inADrain(Peers.Client::leave);
+  }
+
+  @Test
+  void oneThatResetsInADrain() throws Exception {
+    inADrain(Peers.Client::reset);
+  }
+
+  @Test
+  void oneThatAsksOnceMoreAndClosesInADrain() throws Exception {
+    inADrain(
+        client -> {
+          client.send("mg other v O9 Pc=read,d=10000\r\n");
+          client.leave();
+        });
+  }
+
+  @Test
+  void oneThatClosesWithHalfACommandInADrain() throws Exception {
+    inADrain(
+        client -> {
+          client.send("mg other v O9 Pc=re");
+          client.leave();
+        });
+  }
+
+  private static void behindOwedAnswers(int hellos) throws Exception {
+    try (Peers.Server server = new Peers.Server(line -> null);
+        Peers.Rig rig = rig(settings(true, true), server);
+        Peers.Client first = rig.client();
+        Peers.Client leaves = rig.client();
+        Peers.Client then = rig.client()) {
+      followers(rig, server, first, leaves, then);
+      leaves.send("mn\r\n".repeat(hellos));
+      leaves.leave();
+      onlyTheThird(server);
+    }
+  }
+
+  @Test
+  void oneThatIsOwedSoManyThatNoMoreIsTaken() throws Exception {
+    behindOwedAnswers(400);
+  }
+
+  @Test
+  void oneThatHasSentMoreThanIsKeptBehindThem() throws Exception {
+    behindOwedAnswers(40_000);
+  }
+
+  @Test
+  void whatWasKeptBackIsAnsweredInOrder() throws Exception {
+    try (Peers.Server server = new Peers.Server(line -> null);
+        Peers.Rig rig = rig(settings(true, true), server);
+        Peers.Client client = rig.client()) {
+      client.send("mg a v O1 Pc=read,d=10000\r\n" + "mn\r\n".repeat(600));
+      client.send("mg b v O2 Pc=read,d=10000\r\n");
+      Peers.await("the first goes out", () -> server.lines.size() == 1);
+      server.script = Peers::good;
+      server.send(server.lines.get(0), Peers.good(server.lines.get(0)));
+      assertEquals("VA 5 O1", client.line());
+      assertEquals("hello", client.line());
+      for (int i = 0; i < 600; i++) {
+        assertEquals("MN", client.line());
+      }
+      assertEquals("VA 5 O2", client.line());
+    }
+  }
+
+  /** The one connection is taken, so that what comes next waits for it. */
+  private static void waitingForAConnection(boolean cancel) throws Exception {
+    Settings settings = settings(false, cancel);
+    PoolSettings one =
+        new PoolSettings(1, 0, 0, 1, 8, 1, 8, 0, 8, 20_000_000_000L, 0, 20_000_000_000L, 1);
+    try (Peers.Server server = new Peers.Server(line -> null);
+        Peers.Rig rig = new Peers.Rig(settings, one, new Peers.Server(line -> null), server);
+        Peers.Client first = rig.client();
+        Peers.Client leaves = rig.client();
+        Peers.Client then = rig.client()) {
+      first.send("mg a v O1 Pc=read,d=10000\r\n");
+      Peers.await("the first goes out", () -> server.lines.size() == 1);
+      leaves.send("mg b v O2 Pc=read,d=10000\r\n");
+      Peers.await("the second waits", () -> rig.node.openRequests() == 2);
+      then.send("mg c v O3 Pc=read,d=10000\r\n");
+      Peers.await("the third waits", () -> rig.node.openRequests() == 3);
+      leaves.leave();
+      Peers.await("the close is seen", () -> rig.node.clients() == 2);
+      assertEquals(1, server.lines.size());
+      server.send(server.lines.get(0), Peers.good(server.lines.get(0)));
+      onlyTheThird(server);
+      assertTrue(first.line().startsWith("VA 5 O1"));
+    }
+  }
+
+  @Test
+  void oneWhoseRequestWaitsForAConnection() throws Exception {
+    waitingForAConnection(true);
+  }
+
+  @Test
+  void oneWhoseRequestWaitsForAConnectionWhereNothingMayBeCalledOff() throws Exception {
+    waitingForAConnection(false);
+  }
+}
--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -31,6 +31,9 @@
 final class Peers {
   private static final int PATIENCE_MILLIS = 20_000;
 
+  /** The head of a watch's answer. */
+  static final String WATCH = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
   private Peers() {}
 
   /** Waits for a condition, for far longer than it needs. */
@@ -102,8 +105,12 @@
 
     /** Sends text on the connection on which this line came, which must be the only such line. */
     void send(String line, String text) throws IOException {
-      int at = lines.indexOf(line);
-      sources.get(at).getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      send(lines.indexOf(line), text);
+    }
+
+    /** Sends text on the connection on which the line of this number came. */
+    void send(int line, String text) throws IOException {
+      sources.get(line).getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
     /** Ends the connection on which this line came, which must be the only such line. */
@@ -199,12 +206,7 @@
   /** A discovery that answers every watch with the same list and keeps it open. */
   static Server discovery(int version, Server... servers) throws IOException {
     String json = list(version, servers) + "\n";
-    String answer =
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-            + Integer.toHexString(json.length())
-            + "\r\n"
-            + json
-            + "\r\n";
+    String answer = WATCH + chunk(json);
     return new Server(line -> line.startsWith("GET ") ? answer : null);
   }
 
@@ -278,37 +280,67 @@
       return Arrays.copyOf(bytes, read);
     }
 
+    /** Goes away. */
+    void leave() throws IOException {
+      socket.close();
+    }
+
+    /** Ends the connection with a reset. */
+    void reset() throws IOException {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+
     @Override
     public void close() throws IOException {
       socket.close();
     }
   }
 
+  /** One chunk of a watch's answer. */
+  static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
   static Settings settings(Settings.Limits limits) {
+    return settings(
+        limits,
+        false,
+        List.of(
+            service("read", Settings.Effect.SAFE),
+            service("put", Settings.Effect.UNSAFE),
+            service("keyed", Settings.Effect.KEYED)));
+  }
+
+  static Settings settings(
+      Settings.Limits limits, boolean asksForList, List<Settings.ServiceClass> services) {
     return new Settings(
         "a",
         List.of("a"),
         List.of("box"),
         0,
         2,
-        false,
+        asksForList,
         Settings.Weights.NONE,
         new Settings.CacheMode(false, null, 0, 0),
         limits,
         new Settings.Contract(0.02, 10, 2, 0.1, 20, 3, 2),
         new Settings.Prices(0, 0, 0, 0, 0, 0, 0, 0, 0),
-        List.of(
-            service("read", Settings.Effect.SAFE),
-            service("put", Settings.Effect.UNSAFE),
-            service("keyed", Settings.Effect.KEYED)),
+        services,
         List.of(),
         1,
         0.005,
         Settings.Spread.USUAL);
   }
 
-  private static Settings.ServiceClass service(String name, Settings.Effect effect) {
-    return new Settings.ServiceClass(name, 2.5, 0, 5, 1, 0.2, effect, Settings.Group.ALL, 1, false);
+  static Settings.ServiceClass service(String name, Settings.Effect effect) {
+    return service(name, effect, 2.5, 5);
+  }
+
+  static Settings.ServiceClass service(
+      String name, Settings.Effect effect, double aim, double deadline) {
+    return new Settings.ServiceClass(
+        name, aim, 0, deadline, 1, 0.2, effect, Settings.Group.ALL, 1, false);
   }
 
   static PoolSettings pool(Settings settings, int sockets) {
@@ -359,7 +391,8 @@
           256,
           pool(SETTINGS, 256),
           Arrays.stream(servers).map(Server::address).toList(),
-          relayed);
+          relayed,
+          SETTINGS);
     }
 
     /** A node before servers at these addresses, with bounds of its own on the connections. */
@@ -412,7 +445,25 @@
           sockets,
           pool,
           servers,
-          RelaySettings.usual(1 << 22));
+          RelaySettings.usual(1 << 22),
+          SETTINGS);
+    }
+
+    /**
+     * A node with settings and bounds on its connections of its own, and a discovery that speaks.
+     */
+    Rig(Settings settings, PoolSettings pool, Server discovery, Server... servers)
+        throws IOException, InterruptedException {
+      this(
+          new InetSocketAddress("127.0.0.1", 0),
+          null,
+          discovery,
+          ClientConnections.Limits.usual(50),
+          256,
+          pool,
+          Arrays.stream(servers).map(Server::address).toList(),
+          RelaySettings.usual(1 << 22),
+          settings);
     }
 
     private Rig(
@@ -423,7 +474,8 @@
         int sockets,
         PoolSettings pool,
         List<InetSocketAddress> servers,
-        RelaySettings relayed)
+        RelaySettings relayed,
+        Settings settings)
         throws IOException, InterruptedException {
       this.discovery = discovery;
       List<MemberList.Member> members = new ArrayList<>();
@@ -442,7 +494,7 @@
                   sockets,
                   64,
                   new MemberList(true, 1, members),
-                  SETTINGS,
+                  settings,
                   null,
                   pool,
                   "rig",
