--- a/src/test/java/beamspread/node/ServeProcess.java
+++ b/src/test/java/beamspread/node/ServeProcess.java
@@ -31,7 +31,7 @@
    *
    * @param more further fields, each with a comma behind it
    */
-  void configure(String listen, String more, Peers.Server discovery, Peers.Server server)
+  void configure(String listen, String more, Peers.Server discovery, Peers.Server... servers)
       throws IOException {
     Files.writeString(
         config,
@@ -48,7 +48,7 @@
            {"name":"put","slo":1,"give-up":2,"effect":"fragile"}]}}
         """
             .formatted(
-                listen, discovery.address().getPort(), status, more, Peers.list(40, server)));
+                listen, discovery.address().getPort(), status, more, Peers.list(40, servers)));
   }
 
   Process launch() throws IOException {
@@ -72,6 +72,11 @@
     }
   }
 
+  /** Ends it in order. */
+  static void terminate(Process process) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-TERM", Long.toString(process.pid())).start().waitFor();
+  }
+
   boolean logged(String text) {
     try {
       return Files.readString(log).contains(text);
--- /dev/null
+++ b/src/test/java/beamspread/node/StopUnderLoadTest.java
@@ -0,0 +1,259 @@
+package beamspread.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beamspread.sim.WireException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * A process that is told to end with requests in every state. Counted from outside: each that was
+ * sent whole before the process was told has exactly one final answer, in time.
+ */
+class StopUnderLoadTest {
+  /** The longest deadline of the settings and what a stop has beyond it before it is killed. */
+  private static final long MOST_MILLIS = 3_000 + 700;
+
+  @TempDir Path folder;
+  private final CountDownLatch answer = new CountDownLatch(1);
+
+  /** Clients and the ids that each is owed, in order. */
+  private final Map<Peers.Client, List<String>> owed = new LinkedHashMap<>();
+
+  private int ids;
+
+  private String read(Peers.Client client, String key) {
+    String id = "r" + ++ids;
+    owed.computeIfAbsent(client, c -> new ArrayList<>()).add(id);
+    return "mg " + key + " v O" + id + " Pc=read,d=2900\r\n";
+  }
+
+  private String write(Peers.Client client, String key) {
+    String id = "w" + ++ids;
+    owed.computeIfAbsent(client, c -> new ArrayList<>()).add(id);
+    return "ms " + key + " 5 O" + id + " Pc=put,d=2900\r\nworld\r\n";
+  }
+
+  /** Answers once the test lets it, so that requests are open when the process is told to end. */
+  private String held(String line) {
+    try {
+      answer.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return Peers.good(line);
+  }
+
+  private InetSocketAddress listens(ServeProcess node, Process process) throws Exception {
+    InetSocketAddress[] found = new InetSocketAddress[1];
+    Peers.await(
+        "the node answers",
+        () -> {
+          assertTrue(process.isAlive(), "the node has ended");
+          try {
+            String[] at = node.status().requiredText("listen").split(":");
+            found[0] = new InetSocketAddress(at[0], Integer.parseInt(at[1]));
+            try (Peers.Client client = new Peers.Client(found[0])) {
+              return "MN".equals(client.send("mn\r\n").line());
+            }
+          } catch (IOException | WireException e) {
+            return false;
+          }
+        });
+    return found[0];
+  }
+
+  /** Reads what each client is owed, and that nothing more comes; how many were served. */
+  private int settle() throws IOException {
+    int served = 0;
+    for (Map.Entry<Peers.Client, List<String>> one : owed.entrySet()) {
+      for (String id : one.getValue()) {
+        String line = one.getKey().line();
+        assertNotNull(line, id + " has no answer");
+        if (line.startsWith("VA ")) {
+          assertEquals("VA 5 O" + id, line);
+          assertEquals("hello", one.getKey().line());
+          served++;
+        } else if (line.startsWith("HD ")) {
+          assertEquals("HD O" + id + " c77", line);
+          served++;
+        } else {
+          assertTrue(line.startsWith("SERVER_ERROR "), line);
+        }
+      }
+      assertNull(one.getKey().line(), "more than one answer each");
+      one.getKey().close();
+    }
+    return served;
+  }
+
+  private void stops(int hanging) throws Exception {
+    List<Peers.Server> servers = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      Function<String, String> script = i < hanging ? line -> null : this::held;
+      servers.add(new Peers.Server(script));
+    }
+    ServeProcess node = new ServeProcess(folder, "node");
+    try (Peers.Server discovery = Peers.discovery(41, servers.toArray(new Peers.Server[0]))) {
+      node.configure("127.0.0.1:0", "", discovery, servers.toArray(new Peers.Server[0]));
+      Files.writeString(
+          node.config,
+          Files.readString(node.config)
+              .replace("\"sockets\":256", "\"sockets\":1024")
+              .replace("\"give-up\":2", "\"give-up\":3"));
+      Process process = node.launch();
+      try {
+        InetSocketAddress address = listens(node, process);
+        List<Peers.Client> halves = new ArrayList<>();
+        // Out, or held for what is out: eight for each of five keys.
+        for (int i = 0; i < 40; i++) {
+          Peers.Client client = new Peers.Client(address);
+          client.send(read(client, "same-" + i % 5));
+        }
+        for (int i = 0; i < 50; i++) {
+          Peers.Client client = new Peers.Client(address);
+          client.send(i % 2 == 0 ? read(client, "one-" + i) : write(client, "one-" + i));
+        }
+        // Several on one connection, in one piece.
+        for (int i = 0; i < 20; i++) {
+          Peers.Client client = new Peers.Client(address);
+          client.send(read(client, "a-" + i) + write(client, "b-" + i) + read(client, "c-" + i));
+        }
+        // Half a command: the rest comes once the process was told to end.
+        for (int i = 0; i < 20; i++) {
+          Peers.Client client = new Peers.Client(address);
+          String command = write(client, "half-" + i);
+          client.send(command.substring(0, 12 + i));
+          halves.add(client);
+          owed.get(client).add(command.substring(12 + i));
+        }
+        long open = 40 + 50 + 60;
+        Peers.await("all are taken", () -> openRequests(node) >= open);
+        long told = System.nanoTime();
+        ServeProcess.terminate(process);
+        for (Peers.Client client : halves) {
+          client.send(owed.get(client).remove(1));
+        }
+        // New ones go on coming for a while.
+        for (int i = 0; i < 30; i++) {
+          Peers.Client client = new Peers.Client(address);
+          client.send(read(client, "new-" + i));
+        }
+        answer.countDown();
+        int served = settle();
+        assertEquals(200, ids);
+        assertTrue(served > (hanging == 0 ? 150 : 50), served + " served");
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        long millis = (System.nanoTime() - told) / 1_000_000;
+        assertTrue(millis < MOST_MILLIS + 5_000, "ended after " + millis + " ms");
+      } finally {
+        process.destroyForcibly().waitFor();
+      }
+    } finally {
+      for (Peers.Server server : servers) {
+        server.close();
+      }
+    }
+  }
+
+  private static long openRequests(ServeProcess node) {
+    try {
+      return (long) node.status().number("open_requests", 0);
+    } catch (IOException | WireException e) {
+      return -1;
+    }
+  }
+
+  @Test
+  void withRequestsInEveryState() throws Exception {
+    stops(0);
+  }
+
+  @Test
+  void withAQuarterOfTheServersHanging() throws Exception {
+    stops(2);
+  }
+
+  @Test
+  void tenTimesInARow() throws Exception {
+    try (Peers.Server server = new Peers.Server(Peers::good);
+        Peers.Server hangs = new Peers.Server(line -> null);
+        Peers.Server discovery = Peers.discovery(41, server, hangs)) {
+      ServeProcess node = new ServeProcess(folder, "node");
+      String listen = "127.0.0.1:0";
+      for (int i = 0; i < 10; i++) {
+        node.configure(listen, "", discovery, server, hangs);
+        Process process = node.launch();
+        try {
+          InetSocketAddress address = listens(node, process);
+          listen = "127.0.0.1:" + address.getPort();
+          owed.clear();
+          for (int j = 0; j < 10; j++) {
+            Peers.Client client = new Peers.Client(address);
+            client.send(read(client, "k-" + i + "-" + j).replace("d=2900", "d=400"));
+          }
+          ServeProcess.terminate(process);
+          for (int j = 0; j < 10; j++) {
+            Peers.Client client = new Peers.Client(address);
+            client.send(read(client, "k-" + i + "-" + j).replace("d=2900", "d=400"));
+          }
+          settle();
+          assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+          assertEquals(143, process.exitValue(), "ended by the signal, in order");
+        } finally {
+          process.destroyForcibly().waitFor();
+        }
+      }
+    }
+  }
+
+  @Test
+  void toldTwice() throws Exception {
+    try (Peers.Server server = new Peers.Server(this::held);
+        Peers.Server discovery = Peers.discovery(41, server)) {
+      ServeProcess node = new ServeProcess(folder, "node");
+      node.configure("127.0.0.1:0", "", discovery, server);
+      Process process = node.launch();
+      try {
+        InetSocketAddress address = listens(node, process);
+        Peers.Client client = new Peers.Client(address);
+        client.send(read(client, "key"));
+        Peers.await("it goes out", () -> server.lines.size() == 1);
+        ServeProcess.terminate(process);
+        Peers.await("it drains", () -> drains(node));
+        ServeProcess.terminate(process);
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+        Peers.Client late = new Peers.Client(address);
+        late.send(read(late, "late"));
+        answer.countDown();
+        assertEquals(2, settle(), "both are served");
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(143, process.exitValue());
+      } finally {
+        process.destroyForcibly().waitFor();
+      }
+    }
+  }
+
+  private static boolean drains(ServeProcess node) {
+    try {
+      return node.status().flag("draining");
+    } catch (IOException | WireException e) {
+      return false;
+    }
+  }
+}
