--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -118,6 +118,14 @@
       sources.get(lines.indexOf(line)).close();
     }
 
+    /** Ends the connection on which the line of this number came, in order or with a reset. */
+    void end(int line, boolean reset) throws IOException {
+      if (reset) {
+        sources.get(line).setSoLinger(true, 0);
+      }
+      sources.get(line).close();
+    }
+
     /** Refuses new connections and keeps those it has. */
     void refuse() throws IOException {
       SocketAddress address = listener.getLocalSocketAddress();
--- a/src/test/java/beamspread/node/PoolPlanTest.java
+++ b/src/test/java/beamspread/node/PoolPlanTest.java
@@ -39,6 +39,14 @@
     assertThat(PoolPlan.of(SETTINGS, 64, null).freeEach()).as("few descriptors").isEqualTo(6);
   }
 
+  @Test
+  void connectionsRestForHalfOfWhatServersKeepThemHoweverLittleThatIs() throws Exception {
+    Settings closesSoon =
+        Peers.settings(
+            new Settings.Limits(6, true, true, false, false, false, 1, 2, 0.8, 32, 20000));
+    assertThat(PoolPlan.of(closesSoon, 256, null).idleNanos()).isEqualTo(400_000_000L);
+  }
+
   @Test
   void everyFaultIsNamed() {
     fault("{\"connections\":0}", "connections must be at least 1");
--- /dev/null
+++ b/src/test/java/beamspread/node/ServerEndsTest.java
@@ -0,0 +1,105 @@
+package beamspread.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import beamspread.LeakCheck;
+import beamspread.model.Settings;
+import beamspread.pool.PoolSettings;
+import java.util.List;
+import org.junit.jupiter.api.extension.ExtendWith;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A cache server's connection that ends within a reply, right behind one, or between two. */
+@ExtendWith(LeakCheck.class)
+class ServerEndsTest {
+  /** One connection to each server, two attempts on it. */
+  private static final PoolSettings TWO =
+      new PoolSettings(1, 0, 0, 2, 8, 1, 8, 0, 8, 20_000_000_000L, 0, 20_000_000_000L, 1);
+
+  private static Peers.Rig rig(Peers.Server server) throws Exception {
+    Settings settings =
+        Peers.settings(new Settings.Limits(6, true, true, false, false, false, 1, 1, 60, 2, 20000));
+    return new Peers.Rig(settings, TWO, new Peers.Server(line -> null), server);
+  }
+
+  private static String answer(Peers.Client client) throws Exception {
+    String line = client.line();
+    assertNotNull(line, "no answer");
+    if (line.startsWith("VA ")) {
+      assertEquals("hello", client.line());
+    }
+    return line;
+  }
+
+  /** What of the reply comes before the end. */
+  @ParameterizedTest
+  @CsvSource({"1,false", "1,true", "9,false", "9,true", "0,false", "0,true"})
+  void withinAReply(int bytes, boolean reset) throws Exception {
+    try (Peers.Server server = new Peers.Server(line -> null);
+        Peers.Rig rig = rig(server);
+        Peers.Client reader = rig.client();
+        Peers.Client writer = rig.client()) {
+      reader.read("1");
+      Peers.await("the read goes out", () -> server.lines.size() == 1);
+      String line = server.lines.get(0);
+      server.send(line, Peers.good(line).substring(0, bytes));
+      server.script = Peers::good;
+      server.end(0, reset);
+      assertEquals("VA 5 O1", answer(reader), "a read is sent again");
+      server.script = other -> null;
+      writer.write("2");
+      Peers.await("the write goes out", () -> server.lines.size() == 3);
+      server.send(2, Peers.good(server.lines.get(2)).substring(0, bytes));
+      server.script = Peers::good;
+      server.end(2, reset);
+      assertEquals("SERVER_ERROR failed", answer(writer), "it may have run");
+      assertEquals(3, server.lines.size(), "a write is not");
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void rightBehindAReply(boolean reset) throws Exception {
+    try (Peers.Server server = new Peers.Server(line -> null);
+        Peers.Rig rig = rig(server);
+        Peers.Client client = rig.client()) {
+      client.write("1");
+      Peers.await("it goes out", () -> server.lines.size() == 1);
+      String line = server.lines.get(0);
+      server.script = Peers::good;
+      server.send(line, Peers.good(line));
+      server.end(0, reset);
+      String first = answer(client);
+      // A reset may destroy what the socket holds: then it is as if nothing had come.
+      assertEquals(true, first.equals("HD O1 c77") || reset && first.endsWith("failed"), first);
+      assertEquals("HD O2 c77", answer(client.write("2")));
+      assertEquals(List.of("1", "2"), server.lines.stream().map(l -> Peers.flag(l, 'O')).toList());
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void betweenTwoThatAreOnIt(boolean reset) throws Exception {
+    try (Peers.Server server = new Peers.Server(line -> null);
+        Peers.Rig rig = rig(server);
+        Peers.Client first = rig.client();
+        Peers.Client second = rig.client()) {
+      first.read("1");
+      Peers.await("the first goes out", () -> server.lines.size() == 1);
+      second.write("2");
+      Peers.await("both are open", () -> rig.node.openRequests() == 2);
+      Peers.await("the second is behind it", () -> rig.node.serverSockets() == 1);
+      String line = server.lines.get(0);
+      server.send(line, Peers.good(line));
+      assertEquals("VA 5 O1", answer(first));
+      Peers.await("the second is read", () -> server.lines.size() == 2);
+      server.script = Peers::good;
+      server.end(0, reset);
+      assertEquals("SERVER_ERROR failed", answer(second));
+      assertEquals(2, server.lines.size());
+    }
+  }
+}
