A whole list that makes no sense is asked for again; silence is looked at by the shorter patience

And the first look at a watch came by the time for an answer, 3.5 s, though its answer had begun: silence right after it was seen up to 0.5 s later than the budget says.

--- a/src/main/java/beamspread/node/DiscoveryClient.java
+++ b/src/main/java/beamspread/node/DiscoveryClient.java
@@ -247,7 +247,11 @@
 
     /** Guards against discovery falling silent, where its connections stay open. */
     private void listen() {
-      loop.schedule(this::notice, heardAt + patience() - System.nanoTime(), TimeUnit.NANOSECONDS);
+      long now = System.nanoTime();
+      long soonest = heardAt + MAX_SILENCE_MILLIS * 1_000_000L;
+      // An answer that begins meanwhile shortens the patience.
+      long at = soonest - now > 0 ? soonest : heardAt + patience();
+      loop.schedule(this::notice, at - now, TimeUnit.NANOSECONDS);
     }
 
     private long patience() {
@@ -327,8 +331,8 @@
     private void read(ByteBuf bytes, boolean last) throws WireException {
       keep(bytes);
       if (last) {
-        end();
         MemberList list = parse(text);
+        end();
         if (list.version() < version) {
           // Older than what the watch has told since: it would take servers back.
           readAgain();
--- a/src/test/java/beamspread/node/ListEndingsTest.java
+++ b/src/test/java/beamspread/node/ListEndingsTest.java
@@ -240,6 +240,23 @@
     }
   }
 
+  @Test
+  void aWholeListThatMakesNoSenseIsAskedForAgain() throws Exception {
+    try (Peers.Server first = new Peers.Server(Peers::good);
+        Peers.Server second = new Peers.Server(Peers::good);
+        Peers.Server discovery =
+            new Peers.Server(answers(line -> line.startsWith(READ) ? "" : Peers.WATCH));
+        Peers.Rig rig = rig(false, discovery, first)) {
+      changesForWhole(discovery, list(5, false, line(second, "active")));
+      discovery.send(call(discovery, READ, 0), whole("{\"version\":6,\"full\":true}"));
+      Peers.await("the whole again", () -> calls(discovery, READ) == 2);
+      assertEquals(2, rig.node.servers(), "until then the last good list stays");
+      discovery.send(call(discovery, READ, 1), whole(list(6, true, line(second, "active"))));
+      Peers.await("that counts", () -> rig.node.servers() == 1);
+      assertEquals(2, calls(discovery, FOLLOW));
+    }
+  }
+
   /** Discovery has been restarted and counts from 1 again. */
   @Test
   void changesOfALowerVersionAreFollowedByACallForTheWhole() throws Exception {
