--- a/src/test/java/beamspread/node/DiscoveryPaceTest.java
+++ b/src/test/java/beamspread/node/DiscoveryPaceTest.java
@@ -3,9 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beamspread.model.Settings;
-import beamspread.node.client.ClientConnections;
-import java.net.InetSocketAddress;
-import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Calls to discovery keep their distance, whatever the settings make of it. */
@@ -34,25 +31,7 @@
             0,
             Settings.Spread.USUAL);
     try (Peers.Server silent = new Peers.Server(line -> null)) {
-      Node node =
-          new Node(
-              new NodeConfig(
-                  new InetSocketAddress("127.0.0.1", 0),
-                  silent.address(),
-                  1,
-                  256,
-                  64,
-                  new MemberList(true, 1, List.of()),
-                  blank,
-                  null,
-                  Peers.pool(blank, 256),
-                  "rig",
-                  false,
-                  null,
-                  null,
-                  null),
-              ClientConnections.Limits.usual(16),
-              Transport.TCP);
+      Node node = Peers.node(blank, silent);
       try {
         long began = System.nanoTime();
         node.start();
--- a/src/test/java/beamspread/node/EndingsTest.java
+++ b/src/test/java/beamspread/node/EndingsTest.java
@@ -8,7 +8,6 @@
 
 import beamspread.LeakCheck;
 import beamspread.model.Settings;
-import beamspread.node.client.ClientConnections;
 import beamspread.pool.PoolSettings;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -77,25 +76,7 @@
   void aNodeThatDoesNotListenYetEndsAtOnce() throws Exception {
     Settings settings = settings(1, read(10));
     try (Peers.Server discovery = new Peers.Server(line -> null)) {
-      Node node =
-          new Node(
-              new NodeConfig(
-                  new java.net.InetSocketAddress("127.0.0.1", 0),
-                  discovery.address(),
-                  1,
-                  256,
-                  64,
-                  new MemberList(true, 1, List.of()),
-                  settings,
-                  null,
-                  Peers.pool(settings, 256),
-                  "rig",
-                  false,
-                  null,
-                  null,
-                  null),
-              ClientConnections.Limits.usual(16),
-              Transport.TCP);
+      Node node = Peers.node(settings, discovery);
       try {
         Thread drain = new Thread(node::drain);
         drain.start();
--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -359,6 +359,28 @@
     }
   }
 
+  /** A node that knows no server yet and is not started. */
+  static Node node(Settings settings, Server discovery) {
+    return new Node(
+        new NodeConfig(
+            new InetSocketAddress("127.0.0.1", 0),
+            discovery.address(),
+            1,
+            256,
+            64,
+            new MemberList(true, 1, List.of()),
+            settings,
+            null,
+            pool(settings, 256),
+            "rig",
+            false,
+            null,
+            null,
+            null),
+        ClientConnections.Limits.usual(16),
+        Transport.TCP);
+  }
+
   /** A node whose list names these servers and whose discovery says nothing else. */
   static final class Rig implements AutoCloseable {
     private static final Settings SETTINGS =
