Cold servers: a turn in time for each node; calls to discovery are made again within a second

Cause. coldRoom gave each node its rate and one more call for each easy answer. Discovery: a node paused up to 4 s after a failure at ask-within 10 and gave a silent call up after 3.5 s, so that a change was known up to 8.6 s after discovery's return; and where ask-within is 1 s, 490 nodes asked anew each 0.8 s what they still waited for, and half were never answered.

Each node's rate at a cold server is its own part, doubled (in general: by half of what the contract leaves) once it answers with ease; a turn that is not taken in time is lost, its length being what is left of N and 1.5 roots of it, over all nodes; first turns come one after the other, by the node's number. After a failure at most 1 s of pause; a call is given up after 2.5 s (an answer may wait for 2 s), and no sooner by the module.

--- a/src/main/java/beamspread/lab/NodeModel.java
+++ b/src/main/java/beamspread/lab/NodeModel.java
@@ -451,11 +451,6 @@
     pools.closeIdle(server);
   }
 
-  @Override
-  public void log(String text) {
-    // Nobody reads it.
-  }
-
   // What the pools decide.
 
   @Override
--- a/src/main/java/beamspread/model/MembershipUpdate.java
+++ b/src/main/java/beamspread/model/MembershipUpdate.java
@@ -1,6 +1,8 @@
 package beamspread.model;
 
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * News of the list of servers.
@@ -11,6 +13,11 @@
  */
 public record MembershipUpdate(Kind kind, long version, List<ServerEntry> entries) {
 
+  /** The servers that the entries are about. */
+  public Set<Long> ids() {
+    return entries.stream().map(ServerEntry::id).collect(Collectors.toSet());
+  }
+
   /** What an update holds. */
   public enum Kind {
     /** The entries that changed. */
@@ -24,6 +31,11 @@
     /** A call for the list failed, or the subscription broke. */
     FAILED;
 
+    /** Whether what is not among the entries has gone. */
+    public boolean whole() {
+      return this == FULL || this == REMEMBERED;
+    }
+
     /** Whether the list's service has answered just now. */
     public boolean answers() {
       return this == CHANGES || this == FULL;
--- a/src/main/java/beamspread/model/Settings.java
+++ b/src/main/java/beamspread/model/Settings.java
@@ -106,7 +106,16 @@
   public enum Group {
     ALL,
     ZONE,
-    CELL
+    CELL;
+
+    /** Whether two servers are of one group. */
+    public boolean holds(ServerEntry a, ServerEntry b) {
+      return switch (this) {
+        case ALL -> true;
+        case ZONE -> a.zone().equals(b.zone());
+        case CELL -> a.cell() == b.cell() && a.zone().equals(b.zone());
+      };
+    }
   }
 
   /**
@@ -183,7 +192,20 @@
       double coldFrom,
       double warmWithin,
       double overloadFactor,
-      double overloadFor) {}
+      double overloadFor) {
+
+    /**
+     * The share of its capacity that a server has so many seconds after its start: 1 once it is
+     * warm.
+     */
+    public double warmth(double age) {
+      if (!(age < warmWithin)) {
+        return 1;
+      }
+      double from = Math.max(0.01, Math.min(1, coldFrom));
+      return from + (1 - from) * Math.max(0, age) / warmWithin;
+    }
+  }
 
   /**
    * What comes off the result, each times its share or rate.
--- a/src/main/java/beamspread/node/DiscoveryClient.java
+++ b/src/main/java/beamspread/node/DiscoveryClient.java
@@ -38,7 +38,7 @@
   private static final long MAX_SILENCE_MILLIS = 3000;
 
   /** How long a call's answer may take to begin: discovery lets one wait for up to 2 s. */
-  private static final long MAX_WAIT_MILLIS = 3500;
+  private static final long MAX_WAIT_MILLIS = 2500;
 
   /**
    * What is missed on a silent watch binds 6 s after it fell silent: 3 s until that is noticed, one
--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -672,9 +672,4 @@
   public void closeIdle(long server) {
     pools.closeIdle(server);
   }
-
-  @Override
-  public void log(String text) {
-    log.line(text);
-  }
 }
--- a/src/main/java/beamspread/policy/Actions.java
+++ b/src/main/java/beamspread/policy/Actions.java
@@ -22,7 +22,4 @@
 
   /** Closes the idle connections to a server. */
   void closeIdle(long server);
-
-  /** Writes a line to the log. */
-  void log(String text);
 }
--- a/src/main/java/beamspread/policy/MembershipFeed.java
+++ b/src/main/java/beamspread/policy/MembershipFeed.java
@@ -9,6 +9,14 @@
 
 /** Follows the list of servers and keeps asking for it where it must be asked. */
 final class MembershipFeed {
+  /**
+   * Longest pause after a failed call, and longest wait for one's end, in seconds: a change counts
+   * as told 6 s after it could be asked for, whatever has failed before (design 0012).
+   */
+  private static final double LONGEST_PAUSE = 1;
+
+  private static final double LONGEST_CALL = 3;
+
   private final Settings settings;
   private final Actions actions;
   private final SplittableRandom random;
@@ -37,19 +45,15 @@
         // calls failed together do not come back together, yet never as long as askWithin.
         subscribed = false;
         failures = Math.min(failures + 1, 8);
-        double longest = Math.max(settings.contract().askWithin() * 0.4, settings.tick());
+        double part = settings.contract().askWithin() * 0.4;
+        double longest = Math.max(settings.tick(), Math.min(LONGEST_PAUSE, part));
         double pause = Math.min(longest, 0.25 * Math.pow(2, failures));
         callIn(now, pause * (0.5 + 0.5 * random.nextDouble()));
       }
-      case FULL, REMEMBERED -> {
-        TreeMap<Long, ServerHealth> old = new TreeMap<>(servers);
-        for (ServerEntry entry : update.entries()) {
-          old.remove(entry.id());
-          put(now, entry);
+      case FULL, REMEMBERED, CHANGES, BY_HAND -> {
+        if (update.kind().whole()) {
+          servers.keySet().retainAll(update.ids());
         }
-        servers.keySet().removeAll(old.keySet());
-      }
-      case CHANGES, BY_HAND -> {
         for (ServerEntry entry : update.entries()) {
           put(now, entry);
         }
@@ -72,7 +76,7 @@
     if (entry.state() == ServerEntry.State.GONE) {
       servers.remove(entry.id());
     } else if (server == null) {
-      servers.put(entry.id(), new ServerHealth(entry, now, settings.contract()));
+      servers.put(entry.id(), new ServerHealth(entry, now, settings));
     } else {
       server.listed(entry, now);
     }
@@ -90,8 +94,9 @@
     }
     if (now + 1e-6 >= callAt) {
       actions.subscribe(true);
-      // A call whose answer never comes must not leave this balancer silent.
-      callIn(now, Math.max(settings.contract().askWithin() * 0.8, settings.tick()));
+      // A call whose answer never comes must not leave this balancer silent; one that waits for its
+      // turn must not be given up, or the list's service works for those that have asked anew.
+      callIn(now, LONGEST_CALL);
     }
   }
 }
--- a/src/main/java/beamspread/policy/PendingRequest.java
+++ b/src/main/java/beamspread/policy/PendingRequest.java
@@ -1,7 +1,6 @@
 package beamspread.policy;
 
 import beamspread.model.Request;
-import beamspread.model.ServerEntry;
 import beamspread.model.Settings;
 import java.util.ArrayList;
 import java.util.List;
@@ -126,7 +125,7 @@
       case UNSAFE -> first == null;
       case KEYED ->
           first == null
-              || (sameGroup(first.server.entry, server.entry)
+              || (type.group().holds(first.server.entry, server.entry)
                   && now + limits.connectTimeout() < first.sentAt + type.repeatWindow());
     };
   }
@@ -146,12 +145,4 @@
     }
     return null;
   }
-
-  private boolean sameGroup(ServerEntry a, ServerEntry b) {
-    return switch (type.group()) {
-      case ALL -> true;
-      case ZONE -> a.zone().equals(b.zone());
-      case CELL -> a.cell() == b.cell() && a.zone().equals(b.zone());
-    };
-  }
 }
--- a/src/main/java/beamspread/policy/ServerHealth.java
+++ b/src/main/java/beamspread/policy/ServerHealth.java
@@ -48,7 +48,7 @@
 
   private double learnedAt;
 
-  private final Settings.Contract contract;
+  private final Settings settings;
   private double startedAt;
   private int failures;
   private double pause;
@@ -74,13 +74,20 @@
   private double tokens;
   private double tokensAt;
 
-  ServerHealth(ServerEntry entry, double now, Settings.Contract contract) {
+  ServerHealth(ServerEntry entry, double now, Settings settings) {
     this.id = entry.id();
     this.entry = entry;
-    this.contract = contract;
+    this.settings = settings;
     this.startedAt = entry.startedAt() > 0 ? entry.startedAt() : Double.NEGATIVE_INFINITY;
-    this.tokensAt = now;
     this.learnedAt = now;
+    takeTurn(now);
+  }
+
+  /** Balancers have their first turns at a started server one after the other. */
+  private void takeTurn(double now) {
+    double turn = (double) settings.number() / Math.max(1, settings.instances());
+    tokens = (turn + Hashes.fraction(Hashes.mix(id))) % 1;
+    tokensAt = now;
   }
 
   /** The list has news of this server; a new start means an empty cache and a cold machine. */
@@ -89,8 +96,7 @@
       startedAt = Math.max(startedAt, news.startedAt());
       failures = 0;
       trialOut = false;
-      tokens = 0;
-      tokensAt = now;
+      takeTurn(now);
     }
     entry = news;
   }
@@ -157,22 +163,26 @@
 
   /** The share of its capacity that a started server has by the contract: 1 once it is warm. */
   double warmth(double now) {
-    double age = now - startedAt;
-    if (!(age < contract.warmWithin())) {
-      return 1;
-    }
-    double from = Math.max(0.01, Math.min(1, contract.coldFrom()));
-    return from + (1 - from) * Math.max(0, age) / contract.warmWithin();
+    return settings.contract().warmth(now - startedAt);
   }
 
   /**
-   * Rule 4: whether a cold server's budget has room for one more request: at the rate at which warm
-   * servers of like weight answer, times what it can do by now, and for each answer with ease one.
-   * What all balancers send is then under what it can do by contract and what it does together.
+   * Rule 4: whether it is this balancer's turn at a cold server. Its rate is the one at which warm
+   * servers of like weight answer it, times what this one can do by now; once it answers with ease,
+   * half of what the contract leaves on top. A turn that is not taken in time is lost: nobody hears
+   * of the others, and what all have saved up must not come together. What is left of the
+   * contract's N, and most of the two roots of N, is for turns that begin before a window.
    */
   boolean coldRoom(double now, double warmRate) {
-    double rate = warmRate * warmth(now);
-    tokens = Math.min(Math.max(1, rate * 0.25), tokens + (now - tokensAt) * rate);
+    double fair = warmRate * warmth(now);
+    double spare = Math.max(0, settings.contract().overloadFactor() - 1) / 2;
+    double rate = fair * (servedAt > startedAt && strain(now) < EASE ? 1 + spare : 1);
+    double all = Math.max(1, settings.instances());
+    double window = fair * settings.contract().overloadFor();
+    double late = window * spare + 1.5 * Math.sqrt((1 + 2 * spare) * window / all) + 1 / all;
+    late = Math.min(late, Math.max(1, rate * 0.25));
+    tokens += (now - tokensAt) * rate;
+    tokens -= Math.max(0, Math.ceil(tokens - 1 - late));
     tokensAt = now;
     return tokens >= 1;
   }
@@ -192,7 +202,6 @@
     boolean failed = outcome.blamesServer();
     unserved = served ? 0 : unserved + (failed ? 1 : 0);
     servedAt = served ? now : servedAt;
-    tokens += served && strain(now) < EASE ? 1 : 0;
     inFlight--;
     trialOut = false;
     boolean was = suspect();
@@ -209,8 +218,7 @@
       if (was && died) {
         // It was down and answers again before the list has told: its process is new and cold.
         startedAt = Math.max(startedAt, now);
-        tokens = 0;
-        tokensAt = now;
+        takeTurn(now);
       }
       failures = 0;
       died = broke = false;
--- a/src/main/java/beamspread/sim/ActionWriter.java
+++ b/src/main/java/beamspread/sim/ActionWriter.java
@@ -93,11 +93,6 @@
     action("SHUT_IDLE", () -> out.writeNumberField("server", server));
   }
 
-  @Override
-  public void log(String text) {
-    action("NOTE_DOWN", () -> out.writeStringField("text", text));
-  }
-
   /** Declares the decision code broken. */
   void exception(String text) {
     action("EXCEPTION", () -> out.writeStringField("text", text));
--- a/src/test/java/beamspread/node/ListEndingsTest.java
+++ b/src/test/java/beamspread/node/ListEndingsTest.java
@@ -9,6 +9,8 @@
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** How calls to discovery end, and what the node then holds to. */
 @ExtendWith(LeakCheck.class)
@@ -170,6 +172,23 @@
     }
   }
 
+  /** A call is taken and never answered; whatever was missed counts as told 6 s later. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void aCallWithoutAnAnswerLeavesTimeForTwoMore(boolean asked) throws Exception {
+    try (Peers.Server first = new Peers.Server(Peers::good);
+        Peers.Server discovery = new Peers.Server(line -> null);
+        Peers.Rig rig = rig(asked, discovery, first)) {
+      Peers.await("a call", () -> calls(discovery, FOLLOW) == 1);
+      long calledAt = System.nanoTime();
+      Peers.await("the next", () -> calls(discovery, FOLLOW) == 2);
+      long millis = (System.nanoTime() - calledAt) / 1_000_000;
+      assertTrue(millis > 2_000, "an answer may wait for 2 s: " + millis + " ms");
+      assertTrue(millis < 3_500, millis + " ms");
+      assertEquals(1, rig.node.servers(), "until it answers, the list stays");
+    }
+  }
+
   @Test
   void aStandOfTheNodeIsNotTheSilenceOfDiscovery() throws Exception {
     try (Peers.Server first = new Peers.Server(Peers::good);
--- a/src/test/java/beamspread/policy/FailuresTest.java
+++ b/src/test/java/beamspread/policy/FailuresTest.java
@@ -25,7 +25,7 @@
   private final Balancer balancer = new Balancer(SETTINGS, 1, actions);
 
   private static ServerHealth server(long id) {
-    return new ServerHealth(Rig.server(id), 100, SETTINGS.contract());
+    return new ServerHealth(Rig.server(id), 100, SETTINGS);
   }
 
   private static PendingRequest pending(long serial, String key) {
--- a/src/test/java/beamspread/policy/JumpsTest.java
+++ b/src/test/java/beamspread/policy/JumpsTest.java
@@ -28,7 +28,7 @@
     SlotTable table = new SlotTable(128);
     List<ServerHealth> servers = new ArrayList<>();
     for (long id = 1; id <= 10; id++) {
-      servers.add(new ServerHealth(Rig.server(id), 100, Rig.settings(false, 4, true).contract()));
+      servers.add(new ServerHealth(Rig.server(id), 100, Rig.settings(false, 4, true)));
     }
     table.rebuild(servers, false);
     long hash = Hashes.of("k");
--- a/src/test/java/beamspread/policy/Rig.java
+++ b/src/test/java/beamspread/policy/Rig.java
@@ -52,11 +52,6 @@
       acts.add(new Act("closeIdle", "", server, 0));
     }
 
-    @Override
-    public void log(String text) {
-      acts.add(new Act("log", text, 0, 0));
-    }
-
     List<Act> of(String what) {
       return acts.stream().filter(a -> a.what().equals(what)).toList();
     }
@@ -79,6 +74,49 @@
     return settings(false, settings(false, 6, true).limits(), instances, spread);
   }
 
+  /** The settings of the balancer of this number. */
+  static Settings numbered(Settings settings, int number) {
+    return with(settings, number, settings.contract());
+  }
+
+  /** Settings of a fleet that asks for its list, as seldom as this. */
+  static Settings asking(int instances, double askWithin) {
+    Settings settings =
+        settings(true, settings(false, 6, true).limits(), instances, Settings.Spread.USUAL);
+    Settings.Contract contract = settings.contract();
+    return with(
+        settings,
+        0,
+        new Settings.Contract(
+            contract.answerGrace(),
+            askWithin,
+            contract.drainGrace(),
+            contract.coldFrom(),
+            contract.warmWithin(),
+            contract.overloadFactor(),
+            contract.overloadFor()));
+  }
+
+  private static Settings with(Settings settings, int number, Settings.Contract contract) {
+    return new Settings(
+        settings.zone(),
+        settings.zones(),
+        settings.kinds(),
+        number,
+        settings.instances(),
+        settings.asksForList(),
+        settings.weights(),
+        settings.cache(),
+        settings.limits(),
+        contract,
+        settings.prices(),
+        settings.services(),
+        settings.tenants(),
+        settings.overShareWorth(),
+        settings.tick(),
+        settings.spread());
+  }
+
   private static Settings settings(
       boolean asks, Settings.Limits limits, int instances, Settings.Spread spread) {
     return new Settings(
--- a/src/test/java/beamspread/policy/SlotTableTest.java
+++ b/src/test/java/beamspread/policy/SlotTableTest.java
@@ -13,7 +13,7 @@
 
 class SlotTableTest {
   private static ServerHealth server(long id) {
-    return new ServerHealth(Rig.server(id), 0, Rig.settings(false, 4, true).contract());
+    return new ServerHealth(Rig.server(id), 0, Rig.settings(false, 4, true));
   }
 
   private static long[] homes(List<ServerHealth> servers) {
