No attempt begins for a client that has closed: its socket is looked at just before

A close is told by reading.

ServerPools.write, through which every attempt goes, asks whether it is still wanted: Dispatcher looks at the client's socket unless it was read within 2 ms, up to 8 pieces, and tells the module of a close before the attempt's end. What else the look finds is told afterwards, since the pools are deciding.

LeavingClientsTest: five new tests hold the node's loop, set a request off and close behind it; four fail without the look (three followers, one that waits for a connection), the fifth (tried again after a reset) passes on both.

--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -429,6 +429,30 @@
         });
   }
 
+  /**
+   * Looks at the client's socket before an attempt begins. What else is found there is told to the
+   * module afterwards: it may be deciding just now, and the pools are.
+   */
+  @Override
+  public boolean wanted(Attempt attempt) {
+    OpenRequest request = ((RequestAttempt) attempt).request;
+    if (!request.ended) {
+      boolean inner = telling;
+      telling = true;
+      try {
+        if (request.slot.clientLeft()) {
+          clientGone(request);
+        }
+      } finally {
+        telling = inner;
+      }
+      if (!inner && !events.isEmpty()) {
+        loop.execute(() -> tell(now -> {}));
+      }
+    }
+    return !request.ended;
+  }
+
   @Override
   public void written(Attempt attempt) {
     figures.dispatched();
--- a/src/main/java/beamspread/node/RequestAttempt.java
+++ b/src/main/java/beamspread/node/RequestAttempt.java
@@ -43,9 +43,4 @@
   protected MetaCommand command() {
     return request.command;
   }
-
-  @Override
-  protected boolean requestEnded() {
-    return request.ended;
-  }
 }
--- a/src/main/java/beamspread/node/client/ClientHandler.java
+++ b/src/main/java/beamspread/node/client/ClientHandler.java
@@ -31,6 +31,12 @@
   /** Bytes that wait unread behind so many owed answers before the client is turned away. */
   private static final int MAX_HELD = 1 << 16;
 
+  /** What was read so lately is not looked at again: the time of a turn with little to do. */
+  private static final long JUST_READ_NANOS = 2_000_000L;
+
+  /** Pieces that one look reads to find the close behind them. */
+  private static final int LOOK_PIECES = 8;
+
   /** In a drain, how long a command that has begun to come may take to be whole. */
   private static final long DRAIN_COMMAND_NANOS = 300_000_000L;
 
@@ -65,6 +71,11 @@
   /** Whether it has asked for anything yet. */
   private boolean spoke;
 
+  /** When all that had come was last read, and whether it is being read now. */
+  private long readAt = System.nanoTime();
+
+  private boolean reading;
+
   /** Whether a command has come since the last look. */
   private boolean heard;
 
@@ -115,6 +126,15 @@
 
     private boolean last;
 
+    /**
+     * Whether the client has closed its connection, as far as its socket tells now. Guards against
+     * work that nobody waits for: a close is told only by reading, which comes late where the loop
+     * has stood still, and not at all where reading is off.
+     */
+    public boolean clientLeft() {
+      return left();
+    }
+
     /** Where buffers for the answer come from. */
     public ByteBufAllocator alloc() {
       return channel.alloc();
@@ -272,6 +292,23 @@
     return !heard && quiet();
   }
 
+  private boolean mayLook() {
+    return channel.isActive() && decoder.held() <= MAX_HELD;
+  }
+
+  private boolean left() {
+    long unread = System.nanoTime() - readAt;
+    if (!reading && unread > JUST_READ_NANOS) {
+      // Each look reads one piece at least, and the close lies behind the last.
+      long before = -1;
+      for (int i = 0; i < LOOK_PIECES && decoder.pieces() > before && mayLook(); i++) {
+        before = decoder.pieces();
+        SocketLook.read(channel);
+      }
+    }
+    return !channel.isActive();
+  }
+
   /**
    * Ends the sending side after what is written, and lets the client read it: a close while it
    * still sends would reset the connection and destroy the line that tells why. What it sends is
@@ -353,6 +390,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
+    reading = true;
     MetaCommand command = (MetaCommand) message;
     midwaySince = 0;
     spoke = true;
@@ -402,6 +440,8 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
+    reading = false;
+    readAt = System.nanoTime();
     if (decoder.midway() && decoder.held() == 0) {
       midwaySince = midwaySince == 0 ? System.nanoTime() : midwaySince;
       connections.busy(this);
--- a/src/main/java/beamspread/node/server/Attempt.java
+++ b/src/main/java/beamspread/node/server/Attempt.java
@@ -35,9 +35,6 @@
   /** What is written. */
   protected abstract MetaCommand command();
 
-  /** Whether the request has its final answer, or its client has gone. */
-  protected abstract boolean requestEnded();
-
   /** Whether to write it now could have an effect twice. */
   protected boolean tooLate(long now) {
     return false;
--- a/src/main/java/beamspread/node/server/Outcomes.java
+++ b/src/main/java/beamspread/node/server/Outcomes.java
@@ -5,6 +5,12 @@
 
 /** Who is told what has come of attempts. */
 public interface Outcomes {
+  /**
+   * Whether anybody still waits for an attempt that is about to begin: its request has no final
+   * answer, and its client is there.
+   */
+  boolean wanted(Attempt attempt);
+
   /** An attempt was written in full: from now on it may have run. */
   void written(Attempt attempt);
 
--- a/src/main/java/beamspread/node/server/ServerPools.java
+++ b/src/main/java/beamspread/node/server/ServerPools.java
@@ -149,7 +149,7 @@
 
   @Override
   public boolean write(long link, Attempt attempt) {
-    if (attempt.requestEnded()) {
+    if (!outcomes.wanted(attempt)) {
       // Its value may be gone, and nobody wants its answer.
       outcomes.ended(attempt, Outcome.Result.MOOT);
       return false;
--- a/src/main/java/beamspread/node/wire/MetaCommand.java
+++ b/src/main/java/beamspread/node/wire/MetaCommand.java
@@ -106,6 +106,7 @@
     private boolean lost;
     private int discarded;
     private boolean holding;
+    private long pieces;
 
     public Decoder(MemoryBudget budget, List<Settings.ServiceClass> services) {
       this.budget = budget;
@@ -117,6 +118,17 @@
       return !lost && (write != null || actualReadableBytes() > 0);
     }
 
+    /** Pieces of bytes that have come. */
+    public long pieces() {
+      return pieces;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
+      pieces++;
+      super.channelRead(ctx, bytes);
+    }
+
     /** Keeps what comes as it is, or reads on; whether it kept anything back until now. */
     public boolean hold(boolean on) {
       boolean kept = holding && actualReadableBytes() > 0;
--- a/src/test/java/beamspread/node/LeavingClientsTest.java
+++ b/src/test/java/beamspread/node/LeavingClientsTest.java
@@ -155,8 +155,82 @@
     }
   }
 
+  /**
+   * What sets a held request off comes first, then its client's close, both while the node stands:
+   * the loop finds the two in this order.
+   */
+  private static void closesBehind(Peers.Rig rig, Peers.Client leaves, Leave setOff, Leave leave)
+      throws Exception {
+    try (Hold hold = new Hold(rig.node, 0)) {
+      setOff.leave(leaves);
+      leave.leave(leaves);
+      leaves.awaitEnded();
+      hold.release();
+    }
+  }
+
+  private static void followerCloses(Leave leave) throws Exception {
+    try (Peers.Server server = new Peers.Server(line -> null);
+        Peers.Rig rig = rig(settings(true, true), server);
+        Peers.Client first = rig.client();
+        Peers.Client leaves = rig.client();
+        Peers.Client then = rig.client()) {
+      followers(rig, server, first, leaves, then);
+      closesBehind(rig, leaves, client -> server.send(0, Peers.good(server.lines.get(0))), leave);
+      onlyTheThird(server);
+    }
+  }
+
+  @Test
+  void aFollowerThatClosesWhileTheNodeStands() throws Exception {
+    followerCloses(Peers.Client::leave);
+  }
+
+  @Test
+  void aFollowerThatResetsWhileTheNodeStands() throws Exception {
+    followerCloses(Peers.Client::reset);
+  }
+
+  @Test
+  void aFollowerThatAsksOnceMoreAndClosesWhileTheNodeStands() throws Exception {
+    followerCloses(
+        client -> {
+          client.send("mg other v O9 Pc=read,d=10000\r\n");
+          client.leave();
+        });
+  }
+
+  /** Its first attempt is reset, and it would be tried again; held without the look as well. */
+  @Test
+  void oneWhoseAttemptIsTurnedAwayBeforeItsClose() throws Exception {
+    try (Peers.Server server = new Peers.Server(line -> null);
+        Peers.Server other = new Peers.Server(line -> null);
+        Peers.Rig rig =
+            new Peers.Rig(
+                settings(true, true),
+                Peers.pool(settings(true, true), 256),
+                new Peers.Server(line -> null),
+                server,
+                other);
+        Peers.Client leaves = rig.client();
+        Peers.Client then = rig.client()) {
+      leaves.send("mg a v O2 Pc=read,d=10000\r\n");
+      Peers.await("it goes out", () -> wentOut(server, "2") || wentOut(other, "2"));
+      Peers.Server has = wentOut(server, "2") ? server : other;
+      Peers.Server lacks = has == server ? other : server;
+      closesBehind(rig, leaves, client -> has.end(0, true), Peers.Client::leave);
+      Peers.await("the close is seen", () -> rig.node.clients() == 1);
+      has.script = Peers::good;
+      lacks.script = Peers::good;
+      then.send("mg a v O3 Pc=read,d=10000\r\n");
+      assertTrue(then.line().startsWith("VA 5 O3"));
+      assertFalse(wentOut(lacks, "2"), "tried again for a client that had left");
+      assertEquals(1, has.lines.stream().filter(line -> line.contains(" O2 ")).count());
+    }
+  }
+
   /** The one connection is taken, so that what comes next waits for it. */
-  private static void waitingForAConnection(boolean cancel) throws Exception {
+  private static void waitingForAConnection(boolean cancel, boolean stands) throws Exception {
     Settings settings = settings(false, cancel);
     PoolSettings one =
         new PoolSettings(1, 0, 0, 1, 8, 1, 8, 0, 8, 20_000_000_000L, 0, 20_000_000_000L, 1);
@@ -171,10 +245,15 @@
       Peers.await("the second waits", () -> rig.node.openRequests() == 2);
       then.send("mg c v O3 Pc=read,d=10000\r\n");
       Peers.await("the third waits", () -> rig.node.openRequests() == 3);
-      leaves.leave();
-      Peers.await("the close is seen", () -> rig.node.clients() == 2);
-      assertEquals(1, server.lines.size());
-      server.send(server.lines.get(0), Peers.good(server.lines.get(0)));
+      Leave setOff = client -> server.send(0, Peers.good(server.lines.get(0)));
+      if (stands) {
+        closesBehind(rig, leaves, setOff, Peers.Client::leave);
+      } else {
+        leaves.leave();
+        Peers.await("the close is seen", () -> rig.node.clients() == 2);
+        assertEquals(1, server.lines.size());
+        setOff.leave(leaves);
+      }
       onlyTheThird(server);
       assertTrue(first.line().startsWith("VA 5 O1"));
     }
@@ -182,11 +261,17 @@
 
   @Test
   void oneWhoseRequestWaitsForAConnection() throws Exception {
-    waitingForAConnection(true);
+    waitingForAConnection(true, false);
   }
 
   @Test
   void oneWhoseRequestWaitsForAConnectionWhereNothingMayBeCalledOff() throws Exception {
-    waitingForAConnection(false);
+    waitingForAConnection(false, false);
+  }
+
+  /** The one connection is free again just before the close. */
+  @Test
+  void oneThatWaitsForAConnectionAndClosesWhileTheNodeStands() throws Exception {
+    waitingForAConnection(false, true);
   }
 }
--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -20,6 +20,8 @@
 import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -233,6 +235,8 @@
   static final class Client implements AutoCloseable {
     private final Socket socket = new Socket();
     private final InputStream in;
+    private final int node;
+    private final int local;
 
     Client(InetSocketAddress node) throws IOException {
       this(node, 1 << 16);
@@ -244,6 +248,8 @@
       socket.connect(node, PATIENCE_MILLIS);
       socket.setSoTimeout(PATIENCE_MILLIS);
       in = new BufferedInputStream(socket.getInputStream());
+      this.node = node.getPort();
+      this.local = socket.getLocalPort();
     }
 
     Client send(String text) throws IOException {
@@ -288,6 +294,34 @@
       return Arrays.copyOf(bytes, read);
     }
 
+    /** Waits until the node's machine has seen this end's close, whether or not the node has. */
+    void awaitEnded() throws InterruptedException {
+      String from = ":%04X ".formatted(node);
+      String to = ":%04X ".formatted(local);
+      await(
+          "the close has arrived",
+          () ->
+              tcpLines().stream()
+                  .filter(line -> line.contains(from) && line.contains(to))
+                  // 08 is CLOSE_WAIT; one that was reset is no longer there.
+                  .allMatch(
+                      line -> line.indexOf(from) > line.indexOf(to) || line.contains(" 08 ")));
+    }
+
+    private static List<String> tcpLines() {
+      List<String> lines = new ArrayList<>();
+      for (String table : List.of("/proc/net/tcp", "/proc/net/tcp6")) {
+        try {
+          if (Files.exists(Path.of(table))) {
+            lines.addAll(Files.readAllLines(Path.of(table)));
+          }
+        } catch (IOException e) {
+          throw new AssertionError(e);
+        }
+      }
+      return lines;
+    }
+
     /** Goes away. */
     void leave() throws IOException {
       socket.close();
--- a/src/test/java/beamspread/node/server/SlowPiecesTest.java
+++ b/src/test/java/beamspread/node/server/SlowPiecesTest.java
@@ -58,6 +58,11 @@
     @Override
     public void full(Attempt attempt) {}
 
+    @Override
+    public boolean wanted(Attempt attempt) {
+      return true;
+    }
+
     @Override
     public void written(Attempt attempt) {}
 
@@ -92,11 +97,6 @@
       protected MetaCommand command() {
         return command;
       }
-
-      @Override
-      protected boolean requestEnded() {
-        return false;
-      }
     };
   }
 
