Scale run: what nodes, agents, commands and membership cost at 60 to 980, on one machine

The design is to carry 490 nodes at 40 sites; nothing said what each role costs at that size, or how long a change takes until all have it.

Change. ./beamspread scale run FILE: hosts of hollow nodes and agents (the real code with its sockets and threads, nothing behind them) beside a real one of each, a stand-in discovery that tells changes, the fleet's command over all agents, membership on virtual time. Node.open and Node.listed are for who runs nodes side by side. FullOfIdleClientsTest: 800 idle clients within 256 descriptors while discovery is away for 4 s.

--- a/src/main/java/beamspread/cli/Main.java
+++ b/src/main/java/beamspread/cli/Main.java
@@ -20,6 +20,7 @@
       TallyCommand.class,
       TierCommand.class,
       ChaosCommand.class,
+      ScaleCommand.class,
       MeasureCommand.class,
       AutoComplete.GenerateCompletion.class
     },
--- a/src/main/java/beamspread/cli/NodeProcess.java
+++ b/src/main/java/beamspread/cli/NodeProcess.java
@@ -63,7 +63,26 @@
     String text =
         NodeConfigFile.text("n0", 0, 1, discovery.address(), servers, Path.of("none"))
             .replace("\"status_socket\":\"none\",", poolFile == null ? "" : poolFile(poolFile));
-    return launch(scratch, jar, "node", text, flags);
+    return launch(scratch, jar, "node", text, List.of(), flags);
+  }
+
+  /**
+   * One of several that start side by side.
+   *
+   * @param through what its command is given to, such as a tool that binds it to some cores
+   */
+  static NodeProcess start(
+      Scratch scratch,
+      Path jar,
+      int number,
+      Discovery discovery,
+      List<CacheServer> servers,
+      List<String> through)
+      throws IOException, InterruptedException {
+    String text =
+        NodeConfigFile.text("n" + number, number, 1, discovery.address(), servers, Path.of("none"))
+            .replace("\"status_socket\":\"none\",", "");
+    return launch(scratch, jar, "node" + number, text, through, List.of());
   }
 
   /** A node of a replay, with the text of its configuration and of its file on connections. */
@@ -72,7 +91,12 @@
     Path poolFile = scratch.folder().resolve("pool" + number + ".json");
     Files.writeString(poolFile, pool);
     return launch(
-        scratch, jar, "node" + number, "{" + poolFile(poolFile) + config.substring(1), List.of());
+        scratch,
+        jar,
+        "node" + number,
+        "{" + poolFile(poolFile) + config.substring(1),
+        List.of(),
+        List.of());
   }
 
   private static String poolFile(Path file) {
@@ -81,7 +105,7 @@
 
   /** Starts a node of a configuration whose first port 0 is to be one that is free. */
   private static NodeProcess launch(
-      Scratch scratch, Path jar, String name, String text, List<String> flags)
+      Scratch scratch, Path jar, String name, String text, List<String> through, List<String> flags)
       throws IOException, InterruptedException {
     int port;
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -89,7 +113,8 @@
     }
     Path config = scratch.folder().resolve(name + ".json");
     Files.writeString(config, text.replaceFirst("127\\.0\\.0\\.1:0\"", "127.0.0.1:" + port + '"'));
-    List<String> words = new ArrayList<>(Scratch.java("-Xms32m", "-Xmx32m", "-Xmn12m"));
+    List<String> words = new ArrayList<>(through);
+    words.addAll(Scratch.java("-Xms32m", "-Xmx32m", "-Xmn12m"));
     words.addAll(
         List.of(
             "-XX:+AlwaysPreTouch",
--- a/src/main/java/beamspread/fleet/config/TomlFile.java
+++ b/src/main/java/beamspread/fleet/config/TomlFile.java
@@ -181,6 +181,20 @@
       return texts;
     }
 
+    /** A list of whole numbers. */
+    public List<Long> numbers(String key) {
+      TomlArray array = value(key, TomlArray.class, "a list of whole numbers", null);
+      List<Long> numbers = new ArrayList<>();
+      for (int i = 0; array != null && i < array.size(); i++) {
+        if (array.get(i) instanceof Long number) {
+          numbers.add(number);
+        } else {
+          fault(key, "entry " + (i + 1) + " is not a whole number");
+        }
+      }
+      return numbers;
+    }
+
     /** A table of texts. */
     public Map<String, String> textMap(String key) {
       TomlTable inner = value(key, TomlTable.class, "a table", null);
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -31,6 +31,7 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /** One load balancer node: assembles its parts around one event loop, and ends them in order. */
@@ -220,6 +221,18 @@
     return 0;
   }
 
+  /**
+   * A node that listens within this process, for who runs many of them side by side.
+   *
+   * @throws WireException if its configuration can't be used
+   */
+  public static Node open(String configFile)
+      throws WireException, IOException, InterruptedException {
+    Node node = new Node(NodeConfig.load(configFile, NodeConfig.read(configFile)));
+    node.start();
+    return node;
+  }
+
   /** Listens; returns the address. */
   SocketAddress start() throws IOException, InterruptedException {
     NodeConfig.Management management = config.management();
@@ -477,6 +490,11 @@
     return dispatcher.pools().sockets();
   }
 
+  /** How many servers the list names, as the event loop knows it. */
+  public Future<Integer> listed() {
+    return loop.submit(this::servers);
+  }
+
   /** How many servers the list names. */
   int servers() {
     return dispatcher.targets().detachments().listed();
--- a/src/main/java/beamspread/standin/Discovery.java
+++ b/src/main/java/beamspread/standin/Discovery.java
@@ -1,8 +1,11 @@
 package beamspread.standin;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.group.ChannelGroup;
@@ -19,6 +22,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 
 /** A stand-in discovery: tells every watch the whole list, and then an empty line every 2 s. */
@@ -27,6 +31,8 @@
   private final Channel listener;
   private final ChannelGroup watches;
   private final Supplier<String> list;
+  private final AtomicLong told = new AtomicLong();
+  private final AtomicLong asked = new AtomicLong();
 
   /** A discovery that lists these servers, on a free port of the loopback address. */
   public Discovery(EventLoop loop, List<CacheServer> servers)
@@ -41,10 +47,22 @@
     this.watches = new DefaultChannelGroup(loop);
     this.listener =
         CacheServer.listen(
-            loop, channel -> channel.pipeline().addLast(new HttpServerCodec(), new Watch()));
+            loop,
+            channel ->
+                channel.pipeline().addLast(new Counter(), new HttpServerCodec(), new Watch()));
     loop.scheduleAtFixedRate(() -> watches.writeAndFlush(line("\n")), 2, 2, TimeUnit.SECONDS);
   }
 
+  /** Bytes that it has sent to all that called. */
+  public long toldBytes() {
+    return told.get();
+  }
+
+  /** Bytes that it has got from all that called. */
+  public long askedBytes() {
+    return asked.get();
+  }
+
   /** Where it listens. */
   public InetSocketAddress address() {
     return (InetSocketAddress) listener.localAddress();
@@ -68,6 +86,11 @@
     loop.execute(() -> watches.writeAndFlush(line(list.get() + "\n")));
   }
 
+  /** Tells all watches this, as it stands. */
+  public void tell(String text) {
+    loop.execute(() -> watches.writeAndFlush(line(text)));
+  }
+
   private static DefaultHttpContent line(String text) {
     return new DefaultHttpContent(
         ByteBufUtil.writeAscii(io.netty.buffer.UnpooledByteBufAllocator.DEFAULT, text));
@@ -79,6 +102,25 @@
     watches.close();
   }
 
+  /** Counts what goes over a connection, in the form in which it does. */
+  private final class Counter extends ChannelDuplexHandler {
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+      asked.addAndGet(size(message));
+      ctx.fireChannelRead(message);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+      told.addAndGet(size(message));
+      ctx.write(message, promise);
+    }
+
+    private static long size(Object message) {
+      return message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+    }
+  }
+
   private final class Watch extends SimpleChannelInboundHandler<Object> {
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Object message) {
--- a/src/test/java/beamspread/ArchitectureTest.java
+++ b/src/test/java/beamspread/ArchitectureTest.java
@@ -22,6 +22,7 @@
     "beamspread.report..",
     "beamspread.store..",
     "beamspread.chaos..",
+    "beamspread.scale..",
     "beamspread.cli.."
   };
 
--- a/src/test/java/beamspread/node/ServeProcess.java
+++ b/src/test/java/beamspread/node/ServeProcess.java
@@ -10,6 +10,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 
 /** A node as its own process: its configuration, its start, and what it tells of itself. */
 final class ServeProcess {
@@ -52,13 +54,24 @@
   }
 
   Process launch() throws IOException {
-    ProcessBuilder builder =
-        new ProcessBuilder(
+    return launch(List.of());
+  }
+
+  /** One that may hold no more descriptors than its configuration says. */
+  Process launchWithin(int descriptors) throws IOException {
+    return launch(List.of("sh", "-c", "ulimit -n " + descriptors + " && exec \"$@\"", "sh"));
+  }
+
+  private Process launch(List<String> through) throws IOException {
+    List<String> words = new ArrayList<>(through);
+    words.addAll(
+        List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-cp",
             System.getProperty("java.class.path"),
             "beamspread.Main",
-            "serve");
+            "serve"));
+    ProcessBuilder builder = new ProcessBuilder(words);
     builder.environment().put("ROUTER_CONFIG", config.toString());
     builder.environment().put("TMPDIR", folder.toString());
     return builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
