Event loop: waits are whole milliseconds, no spinning on the selector before each timer

Cause: Netty's selector rounds a wait to the nearest millisecond. A timer due in less than half of one makes it not wait at all: the loop looks at its sockets (epoll_wait without a wait) again and again until the timer is due. Seen: a chain of 40 timers took 5,810 looks. Change: WatchedIoHandler rounds each wait up to whole milliseconds; timers fire up to one later. The test fails without the change (5,810 looks for 40 timers, 80 allowed).

--- a/src/main/java/beamspread/loop/WatchedIoHandler.java
+++ b/src/main/java/beamspread/loop/WatchedIoHandler.java
@@ -6,8 +6,17 @@
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.IoRegistration;
 
-/** An event loop's I/O, with a watch that is told when the loop waits and when it works. */
+/**
+ * An event loop's I/O, with a watch that is told when the loop waits and when it works.
+ *
+ * <p>The selector waits whole milliseconds. A timer that is due in less than half of one makes it
+ * not wait at all: the loop then looks at its sockets again and again until the timer is due, and
+ * uses processor time, half of it in the system, for as long as the clock takes to move on. Each
+ * wait is therefore rounded up to whole milliseconds, so that timers fire up to one later.
+ */
 public final class WatchedIoHandler implements IoHandler {
+  private static final long MILLI_NANOS = 1_000_000L;
+
   private final IoHandler inner;
   private final LoopWatch watch;
 
@@ -25,13 +34,21 @@
   public int run(IoHandlerContext context) {
     Timed timed = new Timed(context);
     long now = System.nanoTime();
-    watch.waits(now, context.canBlock() ? context.delayNanos(now) : 0);
+    watch.waits(now, context.canBlock() ? timed.delayNanos(now) : 0);
     int handled = inner.run(timed);
     watch.ran(System.nanoTime(), timed.busy);
     return handled;
   }
 
-  /** Learns how much of a run was work. */
+  /** A wait rounded up to whole milliseconds; one without end stays so. */
+  static long wholeMillis(long nanos) {
+    if (nanos <= 0 || nanos > Long.MAX_VALUE - MILLI_NANOS) {
+      return nanos;
+    }
+    return (nanos + MILLI_NANOS - 1) / MILLI_NANOS * MILLI_NANOS;
+  }
+
+  /** Learns how much of a run was work, and has the selector wait whole milliseconds. */
   private static final class Timed implements IoHandlerContext {
     private final IoHandlerContext inner;
     private long busy;
@@ -47,7 +64,7 @@
 
     @Override
     public long delayNanos(long now) {
-      return inner.delayNanos(now);
+      return wholeMillis(inner.delayNanos(now));
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/beamspread/loop/WatchedIoHandlerTest.java
@@ -0,0 +1,102 @@
+package beamspread.loop;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoRegistration;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** How often a loop looks at its sockets while it waits for timers. */
+class WatchedIoHandlerTest {
+  private static final int TIMERS = 40;
+
+  /** Not of whole milliseconds: rounded to the nearest, a wait would end well before its timer. */
+  private static final long EACH_NANOS = 5_450_000L;
+
+  private final AtomicInteger looks = new AtomicInteger();
+
+  /** The selector's own handler, counting the looks. */
+  private final class Counting implements IoHandler {
+    private final IoHandler inner;
+
+    Counting(IoHandler inner) {
+      this.inner = inner;
+    }
+
+    @Override
+    public int run(IoHandlerContext context) {
+      looks.incrementAndGet();
+      return inner.run(context);
+    }
+
+    @Override
+    public void prepareToDestroy() {
+      inner.prepareToDestroy();
+    }
+
+    @Override
+    public void destroy() {
+      inner.destroy();
+    }
+
+    @Override
+    public IoRegistration register(IoHandle handle) throws Exception {
+      return inner.register(handle);
+    }
+
+    @Override
+    public void wakeup() {
+      inner.wakeup();
+    }
+
+    @Override
+    public boolean isCompatible(Class<? extends IoHandle> type) {
+      return inner.isCompatible(type);
+    }
+  }
+
+  /** One timer after the other, each when the one before has fired. */
+  private void chain(EventLoop loop, int left, CountDownLatch done) {
+    if (left == 0) {
+      done.countDown();
+      return;
+    }
+    loop.schedule(() -> chain(loop, left - 1, done), EACH_NANOS, TimeUnit.NANOSECONDS);
+  }
+
+  @Test
+  void itLooksOnceForEachTimer() throws Exception {
+    IoHandlerFactory nio = NioIoHandler.newFactory();
+    IoHandlerFactory counting = executor -> new Counting(nio.newHandler(executor));
+    LoopWatch watch = new LoopWatch(nanos -> {});
+    var group = new MultiThreadIoEventLoopGroup(1, WatchedIoHandler.factory(counting, watch));
+    try {
+      CountDownLatch done = new CountDownLatch(1);
+      group.next().execute(() -> chain(group.next(), TIMERS, done));
+      assertThat(done.await(20, TimeUnit.SECONDS)).isTrue();
+      // One look for each, and a few for the start and for what else wakes a loop.
+      assertThat(looks.get()).isBetween(TIMERS, 2 * TIMERS);
+    } finally {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+  }
+
+  @Test
+  void waitsAreRoundedUpToWholeMilliseconds() {
+    assertThat(WatchedIoHandler.wholeMillis(0)).isZero();
+    assertThat(WatchedIoHandler.wholeMillis(-5)).isEqualTo(-5);
+    assertThat(WatchedIoHandler.wholeMillis(1)).isEqualTo(1_000_000);
+    assertThat(WatchedIoHandler.wholeMillis(1_000_000)).isEqualTo(1_000_000);
+    assertThat(WatchedIoHandler.wholeMillis(2_400_000)).isEqualTo(3_000_000);
+    assertThat(WatchedIoHandler.wholeMillis(Long.MAX_VALUE)).isEqualTo(Long.MAX_VALUE);
+  }
+}
