Requests that are read after a stall are aged by it, and begin behind what is overdue

Cause: a request's time was counted from when it was read. One that lay in its socket while the event loop stood was held for its whole wait again, and answered late by as much as the stall. Change: LoopWatch knows how long what is read may have lain unread at most (since the last look at the sockets); connections that came in the stall are accepted in the same turn and their requests aged as well. Timers of requests that are over are taken off (Actions.cancelWake, WakeTimers): each woke the loop for nothing. EverNewTest looks for OpenRequests.byId, where the map of Dispatcher.open is now.

--- a/src/main/java/beamspread/loop/LoopWatch.java
+++ b/src/main/java/beamspread/loop/LoopWatch.java
@@ -20,7 +20,13 @@
   private long longest;
   private long lost;
   private int pauses;
+  private long turns;
+
+  /** When the last turn should have begun: at its wake-up, or when it should have woken up. */
   private long beganAt;
+
+  private long wokeAt;
+  private long waitsSince;
   private long dueAt;
   private boolean waiting;
 
@@ -38,7 +44,9 @@
     if (beganAt != 0) {
       turn(now - beganAt);
     }
+    turns++;
     waiting = true;
+    waitsSince = now;
     dueAt = most > Long.MAX_VALUE - Math.max(0, now) ? Long.MAX_VALUE : now + Math.max(0, most);
   }
 
@@ -49,8 +57,8 @@
    */
   void ran(long now, long busy) {
     // What it woke up too late by belongs to the turn: it should have run then.
-    long woke = now - busy;
-    beganAt = waiting && dueAt != Long.MAX_VALUE && woke - dueAt > 0 ? dueAt : woke;
+    wokeAt = now - busy;
+    beganAt = waiting && dueAt != Long.MAX_VALUE && wokeAt - dueAt > 0 ? dueAt : wokeAt;
     waiting = false;
   }
 
@@ -73,6 +81,29 @@
     return pauses;
   }
 
+  /**
+   * How long bytes that are read now can have lain in their socket at most, as far as the loop is
+   * to blame: the time since an earlier look at the sockets, where the loop has stood still since.
+   * 0 while the loop keeps up, and what comes is read as it comes.
+   */
+  public long unreadNanos(long now) {
+    if (wokeAt == 0) {
+      return 0;
+    }
+    if (!waiting) {
+      long turn = now - beganAt;
+      return turn >= PAUSE_NANOS ? turn : 0;
+    }
+    boolean late = now - dueAt >= PAUSE_NANOS;
+    boolean longTurn = waitsSince - wokeAt >= PAUSE_NANOS;
+    return late || longTurn ? now - wokeAt : 0;
+  }
+
+  /** The number of the turn under way; one begins with each wait. */
+  public long turn() {
+    return turns;
+  }
+
   /** How long all pauses were together, the turn under way included once it is one. */
   public long lostNanos(long now) {
     long turn = waiting || beganAt == 0 ? 0 : now - beganAt;
--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -1,16 +1,12 @@
 package beamspread.node;
 
-import beamspread.loop.StandReserve;
 import beamspread.maintenance.Figures;
 import beamspread.maintenance.Tally;
 import beamspread.model.Learnt;
 import beamspread.model.LoadReport;
 import beamspread.model.MembershipUpdate;
 import beamspread.model.Outcome;
-import beamspread.model.Request;
 import beamspread.model.Settings;
-import beamspread.node.client.ClientHandler;
-import beamspread.node.client.Requests;
 import beamspread.node.handover.LearntNote;
 import beamspread.node.relay.ValueRelays;
 import beamspread.node.server.Attempt;
@@ -18,32 +14,24 @@
 import beamspread.node.server.ServerPools;
 import beamspread.node.server.ValueSink;
 import beamspread.node.server.ValueSource;
-import beamspread.node.wire.MetaCommand;
 import beamspread.node.wire.MetaReply;
 import beamspread.policy.Actions;
 import beamspread.policy.Balancer;
 import beamspread.pool.PoolSettings;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufAllocator;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.EventLoop;
-import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 
 /**
- * Stands between the decision module and the sockets: tells it what happens, one event after the
- * other, and carries out what it decides. All of it runs on the event loop.
+ * Stands between the decision module and the sockets: carries out what it decides, and tells it
+ * what comes of attempts. All of it runs on the event loop.
  */
-final class Dispatcher implements Actions, Requests, Outcomes {
+final class Dispatcher implements Actions, Outcomes {
   /**
    * The node stops waiting for an attempt this long before the client stops waiting for the node,
    * so that the module hears of the time-out before it must answer, and the answer is in time.
@@ -53,19 +41,9 @@
   /** The part of the time for a connect that the way of one command takes: a third is one trip. */
   private static final int WAY_PART = 3;
 
-  private static final long TELL_AGAIN_NANOS = 60_000_000_000L;
-
-  /** Troubles of the list that are remembered. */
-  private static final int TROUBLES = 64;
-
   /** How often requests are looked through for overdue ones after the module has failed. */
   private static final long RESCUE_MILLIS = 10;
 
-  /** Something that has happened, to be told to the module. */
-  private interface Event {
-    void tell(double now);
-  }
-
   private final Clock clock = new Clock();
   private final EventLoop loop;
   private final Settings settings;
@@ -74,43 +52,17 @@
   private final ServerPools pools;
   private final ValueRelays relays;
   private final Targets targets;
-  private final Figures figures;
   private final DiscoveryClient discovery;
-  private final Map<String, OpenRequest> open = new HashMap<>();
-  private final ArrayDeque<Event> events = new ArrayDeque<>();
-  private final long longestDeadlineNanos;
-  private final StandReserve reserve = new StandReserve();
-
-  /** Requests that are taken and have no final answer, and whose clients are still there. */
-  private int unanswered;
-
+  private final ListTroubles troubles;
+  private final RequestMetrics metrics;
+  private final OpenRequests open;
+  private final DecisionEvents events;
+  private final RequestIntake intake;
+  private final WakeTimers timers;
   private final Map<String, Settings.ServiceClass> types = new HashMap<>();
-
-  /** The classes whose requests may not be repeated at will. */
-  private final Set<String> guarded = new HashSet<>();
-
-  /** Null where nobody asked for it. */
-  private Tally tally;
-
+  private final long longestDeadlineNanos;
   private NodeConfig config;
   private int heldByOthers;
-  private boolean telling;
-
-  /** When each trouble of the list was last told. */
-  private final Map<String, Long> toldAt =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
-          return size() > TROUBLES;
-        }
-      };
-
-  /** When this process gives its last answers, on the clock of {@link System#nanoTime()}. */
-  private long endsAt;
-
-  private boolean ends;
   private boolean rescuing;
   private long rescueUntil;
 
@@ -138,15 +90,17 @@
             this);
     for (Settings.ServiceClass service : settings.services()) {
       types.put(service.name(), service);
-      if (service.effect() != Settings.Effect.SAFE) {
-        guarded.add(service.name());
-      }
     }
-    this.figures =
-        new Figures(settings.services().stream().map(Settings.ServiceClass::name).toList());
+    this.metrics = new RequestMetrics(settings.services());
+    this.open = new OpenRequests(metrics);
+    this.events = new DecisionEvents(clock, this::moduleFailed);
+    this.timers = new WakeTimers(loop, this::wakeDue);
+    this.troubles = new ListTroubles(log::line);
     this.balancer = new Balancer(settings, config.seed(), this);
+    this.intake =
+        new RequestIntake(loop, open, events, balancer, metrics, log, longestDeadlineNanos);
     this.targets =
-        new Targets(pools, clock, update -> tell(now -> balancer.membership(now, update)));
+        new Targets(pools, clock, update -> events.tell(now -> balancer.membership(now, update)));
     this.discovery =
         new DiscoveryClient(
             loop,
@@ -163,24 +117,24 @@
    * @param clients how many connections of clients there are
    */
   void tally(IntSupplier clients) {
-    tally = new Tally();
+    Tally tally = metrics.beginTally();
     loop.scheduleAtFixedRate(
-        () ->
-            log.line(
-                tally.line(
-                    System.currentTimeMillis(),
-                    new Tally.Gauges(
-                        unanswered,
-                        open.values().stream().mapToInt(request -> request.out).sum(),
-                        clients.getAsInt(),
-                        pools.sockets(),
-                        pools.opened(),
-                        pools.turnedDown()))),
+        () -> log.line(tally.line(System.currentTimeMillis(), gauges(clients))),
         1,
         1,
         TimeUnit.SECONDS);
   }
 
+  private Tally.Gauges gauges(IntSupplier clients) {
+    return new Tally.Gauges(
+        open.unanswered(),
+        open.attempts(),
+        clients.getAsInt(),
+        pools.sockets(),
+        pools.opened(),
+        pools.turnedDown());
+  }
+
   /** Tells the module the list as it was last known, and begins to follow it. */
   void start(MemberList known) {
     targets.list(known, MembershipUpdate.Kind.REMEMBERED);
@@ -212,12 +166,8 @@
    * @param at on the clock of {@link System#nanoTime()}
    */
   void endBy(long at) {
-    endsAt = at;
-    ends = true;
-    loop.schedule(
-        () -> List.copyOf(open.values()).forEach(this::fail),
-        at - System.nanoTime(),
-        TimeUnit.NANOSECONDS);
+    intake.endBy(at);
+    loop.schedule(open::failAll, at - System.nanoTime(), TimeUnit.NANOSECONDS);
   }
 
   /**
@@ -233,28 +183,9 @@
     }
   }
 
-  /**
-   * Tells the module of an event, and then of those that its own actions cause: the module is never
-   * called from within one of its calls.
-   */
-  private void tell(Event event) {
-    events.add(event);
-    if (telling) {
-      return;
-    }
-    telling = true;
-    try {
-      for (Event next = events.poll(); next != null; next = events.poll()) {
-        try {
-          next.tell(clock.now());
-        } catch (RuntimeException | VirtualMachineError e) {
-          report("decision module", e);
-          rescue();
-        }
-      }
-    } finally {
-      telling = false;
-    }
+  private void moduleFailed(Throwable cause) {
+    report("decision module", cause);
+    rescue();
   }
 
   /**
@@ -271,11 +202,7 @@
 
   private void rescueOverdue() {
     long now = System.nanoTime();
-    for (OpenRequest request : List.copyOf(open.values())) {
-      if (now - request.deadlineNanos > 0) {
-        fail(request);
-      }
-    }
+    open.failOverdue(now);
     rescuing = now - rescueUntil < 0;
     if (rescuing) {
       loop.schedule(this::rescueOverdue, RESCUE_MILLIS, TimeUnit.MILLISECONDS);
@@ -286,9 +213,9 @@
     return pools;
   }
 
-  /** The loop has stood still for so long until now. */
-  void stood(long nanos) {
-    reserve.stood(System.nanoTime(), nanos);
+  /** Where the requests of clients go. */
+  RequestIntake intake() {
+    return intake;
   }
 
   /** What a successor had better know, null if too little is learnt yet. */
@@ -311,16 +238,16 @@
   }
 
   Figures figures() {
-    return figures;
+    return metrics.figures();
   }
 
   int openRequests() {
-    return open.size();
+    return open.count();
   }
 
   /** Requests that are taken and have no final answer, or not all of it. */
   int unanswered() {
-    return unanswered + relays.passing();
+    return open.unanswered() + relays.passing();
   }
 
   @Override
@@ -328,65 +255,6 @@
     log.failure(where, cause);
   }
 
-  // What clients do.
-
-  @Override
-  public Taken request(MetaCommand command, ClientHandler.Slot slot) {
-    if (open.containsKey(command.request.id())) {
-      command.release();
-      slot.line("CLIENT_ERROR id in use");
-      return null;
-    }
-    // Longer than the longest deadline no client waits, and no restart.
-    long wait = Math.min(longestDeadlineNanos, (long) (command.request.budget() * 1e9));
-    long now = System.nanoTime();
-    if (ends) {
-      wait = Math.max(0, Math.min(wait, endsAt - now));
-    }
-    long held = reserve.nanos(now, wait);
-    OpenRequest request = new OpenRequest(command, slot, now, now + wait - held);
-    Request known =
-        held == 0 && !ends ? command.request : command.request.within((wait - held) / 1e9);
-    open.put(request.id(), request);
-    unanswered++;
-    if (tally != null) {
-      tally.taken(command.request.write());
-    }
-    tell(
-        at -> {
-          try {
-            balancer.request(at, known);
-          } catch (RuntimeException | VirtualMachineError e) {
-            report("decision module", e);
-            fail(request);
-          }
-        });
-    return () -> clientGone(request);
-  }
-
-  @Override
-  public void refused(String serviceClass) {
-    figures.replied(serviceClass, Figures.Reply.OVERLOAD);
-  }
-
-  private void clientGone(OpenRequest request) {
-    if (request.ended) {
-      return;
-    }
-    over(request);
-    if (tally != null) {
-      tally.gone();
-    }
-    tell(
-        now -> {
-          try {
-            balancer.clientGone(now, request.id());
-          } finally {
-            settle(request);
-          }
-        });
-  }
-
   // What cache servers do.
 
   @Override
@@ -405,7 +273,7 @@
     attempt.mayHaveRun = !result.provesNotRun();
     OpenRequest request = attempt.request;
     double elapsed = (System.nanoTime() - attempt.sentAt) / 1e9;
-    tell(
+    events.tell(
         now -> {
           request.out--;
           Outcome outcome =
@@ -418,13 +286,11 @@
                   request.ended,
                   note,
                   load);
-          if (tally != null) {
-            tally.ended(outcome, request.command.request.write());
-          }
+          metrics.attemptEnded(outcome, request.command.request);
           try {
             balancer.outcome(now, outcome);
           } finally {
-            settle(request);
+            open.settle(request);
           }
         });
   }
@@ -436,26 +302,21 @@
   @Override
   public boolean wanted(Attempt attempt) {
     OpenRequest request = ((RequestAttempt) attempt).request;
-    if (!request.ended) {
-      boolean inner = telling;
-      telling = true;
-      try {
-        if (request.slot.clientLeft()) {
-          clientGone(request);
-        }
-      } finally {
-        telling = inner;
-      }
-      if (!inner && !events.isEmpty()) {
-        loop.execute(() -> tell(now -> {}));
-      }
+    if (!request.ended && events.collect(() -> lookForClient(request))) {
+      loop.execute(events::tellWaiting);
     }
     return !request.ended;
   }
 
+  private void lookForClient(OpenRequest request) {
+    if (request.slot.clientLeft()) {
+      intake.clientGone(request);
+    }
+  }
+
   @Override
   public void written(Attempt attempt) {
-    figures.dispatched();
+    metrics.attemptWritten();
   }
 
   /** A reply has come; it is dropped where the module has been told another end. */
@@ -464,10 +325,10 @@
     RequestAttempt attempt = (RequestAttempt) answered;
     OpenRequest request = attempt.request;
     if (reply.result() == Outcome.Result.OK && !request.ended && !attempt.over()) {
-      over(request);
-      served(request);
-      figures.replied(request.command.request.serviceClass(), Figures.Reply.SUCCESS);
-      request.slot.answer(answer(request.slot.alloc(), reply));
+      open.over(request);
+      metrics.served(request);
+      metrics.replied(request.command.request.serviceClass(), Figures.Reply.SUCCESS);
+      request.slot.answer(reply.clientAnswer(request.slot.alloc()));
     }
     ended(attempt, reply.result(), reply.note(), reply.load());
   }
@@ -478,72 +339,36 @@
     OpenRequest request = attempt.request;
     ValueSink sink = null;
     if (!request.ended && !attempt.over()) {
-      over(request);
-      served(request);
+      open.over(request);
+      metrics.served(request);
       String type = request.command.request.serviceClass();
       sink =
           relays.begin(
               head,
               source,
               request.slot,
-              whole -> figures.replied(type, whole ? Figures.Reply.SUCCESS : Figures.Reply.ERROR));
+              whole -> metrics.replied(type, whole ? Figures.Reply.SUCCESS : Figures.Reply.ERROR));
     }
     // For the module the server has answered: when its first bytes came is what tells of it.
     ended(attempt, head.result(), head.note(), head.load());
     return sink;
   }
 
-  private void served(OpenRequest request) {
-    if (tally != null) {
-      String type = request.command.request.serviceClass();
-      double aim =
-          settings.services().stream()
-              .filter(service -> service.name().equals(type))
-              .mapToDouble(Settings.ServiceClass::aim)
-              .findFirst()
-              .orElse(Double.POSITIVE_INFINITY);
-      tally.served(request.command.request.write(), request.age() > aim);
-    }
-  }
-
-  private static ByteBuf answer(ByteBufAllocator allocator, MetaReply reply) {
-    int size = reply.value() == null ? 0 : reply.value().readableBytes();
-    ByteBuf bytes = allocator.buffer(reply.id().length() + 48 + size);
-    if (reply.value() == null) {
-      ByteBufUtil.writeAscii(bytes, "HD O");
-      ByteBufUtil.writeAscii(bytes, reply.id());
-      ByteBufUtil.writeAscii(bytes, " c");
-      ByteBufUtil.writeAscii(bytes, reply.receipt());
-    } else {
-      ByteBufUtil.writeAscii(bytes, "VA ");
-      ByteBufUtil.writeAscii(bytes, Integer.toString(size - 2));
-      ByteBufUtil.writeAscii(bytes, " O");
-      ByteBufUtil.writeAscii(bytes, reply.id());
-    }
-    bytes.writeShort(0x0D0A);
-    return size > 0 ? bytes.writeBytes(reply.value(), reply.value().readerIndex(), size) : bytes;
-  }
-
   // What discovery says.
 
   void list(MemberList list) {
-    list.faults().forEach(this::listTrouble);
+    list.faults().forEach(troubles::report);
     targets.list(list, list.full() ? MembershipUpdate.Kind.FULL : MembershipUpdate.Kind.CHANGES);
   }
 
-  /** Something is wrong with the list or with a call for it; told once a minute by its kind. */
+  /** Something is wrong with the list or with a call for it. */
   void listTrouble(String why) {
-    long now = System.nanoTime();
-    Long before = toldAt.get(why);
-    if (before == null || now - before > TELL_AGAIN_NANOS) {
-      toldAt.put(why, now);
-      log.line("discovery: " + why);
-    }
+    troubles.report(why);
   }
 
   void listFailed(String why) {
-    listTrouble(why);
-    tell(
+    troubles.report(why);
+    events.tell(
         now ->
             balancer.membership(
                 now, new MembershipUpdate(MembershipUpdate.Kind.FAILED, 0, List.of())));
@@ -567,13 +392,11 @@
             request.attempts.size(),
             server,
             deadline,
-            guarded.contains(request.command.request.serviceClass()),
+            type(request).effect() != Settings.Effect.SAFE,
             repeatableUntil(request));
     request.attempts.add(attempt);
     request.out++;
-    if (tally != null) {
-      tally.sent(attempt.number == 0, request.age());
-    }
+    metrics.attemptBegins(attempt);
     if (request.ended || attempt.number >= settings.limits().maxAttempts() || latest - now <= 0) {
       ended(attempt, Outcome.Result.MOOT);
       return;
@@ -583,13 +406,17 @@
     pools.send(attempt);
   }
 
+  private Settings.ServiceClass type(OpenRequest request) {
+    return types.get(request.command.request.serviceClass());
+  }
+
   /**
    * Until when one more attempt of a request may begin. Guards against an effect carried out twice:
    * the module reckons with the time that a connection takes to come up, but an attempt may wait
    * for one for longer, and by then servers have forgotten the first.
    */
   private long repeatableUntil(OpenRequest request) {
-    Settings.ServiceClass type = types.get(request.command.request.serviceClass());
+    Settings.ServiceClass type = type(request);
     if (type.effect() != Settings.Effect.KEYED) {
       return RequestAttempt.ANY_TIME;
     }
@@ -632,7 +459,7 @@
   @Override
   public void refuse(String requestId, double retryAfter) {
     long millis = Math.round(retryAfter * 1e3);
-    end(
+    open.end(
         open.get(requestId),
         Figures.Reply.OVERLOAD,
         "SERVER_ERROR busy" + (millis > 0 ? " " + millis : ""));
@@ -640,47 +467,21 @@
 
   @Override
   public void fail(String requestId) {
-    fail(open.get(requestId));
-  }
-
-  private void fail(OpenRequest request) {
-    end(request, Figures.Reply.ERROR, "SERVER_ERROR failed");
-  }
-
-  private void end(OpenRequest request, Figures.Reply reply, String answer) {
-    if (request != null && !request.ended) {
-      over(request);
-      if (tally != null && reply == Figures.Reply.OVERLOAD) {
-        tally.refused(request.attempts.isEmpty());
-      } else if (tally != null) {
-        tally.failed();
-      }
-      figures.replied(request.command.request.serviceClass(), reply);
-      request.slot.line(answer);
-      settle(request);
-    }
+    open.fail(open.get(requestId));
   }
 
-  /** The request has its final answer, or its client has gone. */
-  private void over(OpenRequest request) {
-    request.ended = true;
-    unanswered--;
+  @Override
+  public void wake(long token, double delay) {
+    timers.set(token, delay);
   }
 
-  /** Forgets what is over. */
-  private void settle(OpenRequest request) {
-    if (request.ended) {
-      request.command.release();
-      if (request.out == 0) {
-        open.remove(request.id(), request);
-      }
-    }
+  private void wakeDue(long token) {
+    events.tell(now -> balancer.timer(now, token));
   }
 
   @Override
-  public void wake(long token, double delay) {
-    loop.schedule(
-        () -> tell(now -> balancer.timer(now, token)), (long) (delay * 1e9), TimeUnit.NANOSECONDS);
+  public void cancelWake(long token) {
+    timers.cancel(token);
   }
 
   @Override
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -134,8 +134,14 @@
 
   private void paused(long nanos) {
     log.line("the event loop stood still for " + nanos / 1_000_000 + " ms");
-    if (dispatcher != null) {
-      dispatcher.stood(nanos);
+    if (dispatcher == null) {
+      return;
+    }
+    dispatcher.intake().stalled(nanos);
+    if (listener != null) {
+      // Whoever connected meanwhile is read in the next turn, when it is still known how long its
+      // request may have waited.
+      SocketLook.accept(listener, clients::accepted, ACCEPT_ROUNDS);
     }
   }
 
@@ -338,7 +344,7 @@
 
   private void accept(Channel channel) {
     MetaCommand.Decoder decoder = new MetaCommand.Decoder(values, config.settings().services());
-    channel.pipeline().addLast(decoder, new ClientHandler(dispatcher, clients, decoder));
+    channel.pipeline().addLast(decoder, new ClientHandler(dispatcher.intake(), clients, decoder));
   }
 
   private void sweep() {
--- a/src/main/java/beamspread/node/client/ClientConnections.java
+++ b/src/main/java/beamspread/node/client/ClientConnections.java
@@ -92,6 +92,16 @@
     return now - watch.lostNanos(now);
   }
 
+  /** How long what is read now may have lain in its socket, 0 where the loop keeps up. */
+  long unreadNanos(long now) {
+    return watch.unreadNanos(now);
+  }
+
+  /** The number of the event loop's turn. */
+  long turn() {
+    return watch.turn();
+  }
+
   private int most() {
     int all = limits.connections();
     return Math.max(1, Math.max(all / 2, all - heldByOthers));
--- a/src/main/java/beamspread/node/client/ClientHandler.java
+++ b/src/main/java/beamspread/node/client/ClientHandler.java
@@ -68,6 +68,11 @@
 
   private int strikes;
 
+  /** The earliest time at which it can have connected; 0 where it was accepted as it came. */
+  private final long connectedSince;
+
+  private final long acceptedInTurn;
+
   /** Whether it has asked for anything yet. */
   private boolean spoke;
 
@@ -95,6 +100,10 @@
     this.connections = connections;
     this.decoder = decoder;
     restsSince = connections.idleClock();
+    long now = System.nanoTime();
+    long unread = connections.unreadNanos(now);
+    connectedSince = unread == 0 ? 0 : now - unread;
+    acceptedInTurn = connections.turn();
   }
 
   /** Who gives an answer in parts. */
@@ -409,7 +418,7 @@
         && slots.size() <= MAX_OPEN
         && connections.mayTake(command.request.budget())) {
       strikes = 0;
-      slot.request = requests.request(command, slot);
+      slot.request = requests.request(command, slot, unreadNanos());
       return;
     }
     if (command.request != null) {
@@ -421,6 +430,15 @@
     end(slot, command.reply, command.lost || strikes >= MAX_STRIKES);
   }
 
+  /** How long a request that is read now may have lain unread. */
+  private long unreadNanos() {
+    long now = System.nanoTime();
+    long unread = connections.unreadNanos(now);
+    // What a connection holds that was accepted after a stall is read in the turn after.
+    boolean justAccepted = connectedSince != 0 && connections.turn() == acceptedInTurn + 1;
+    return justAccepted ? Math.max(unread, now - connectedSince) : unread;
+  }
+
   private void end(Slot slot, String reply, boolean last) {
     slot.last = last;
     closing |= last;
--- a/src/main/java/beamspread/node/client/Requests.java
+++ b/src/main/java/beamspread/node/client/Requests.java
@@ -10,8 +10,12 @@
     void clientGone();
   }
 
-  /** Takes a request, whose answer goes to this place; null if it was answered at once. */
-  Taken request(MetaCommand command, ClientHandler.Slot slot);
+  /**
+   * Takes a request, whose answer goes to this place; null if it was answered at once.
+   *
+   * @param unreadNanos how long it may have lain unread, 0 where it was read as it came
+   */
+  Taken request(MetaCommand command, ClientHandler.Slot slot, long unreadNanos);
 
   /** A request of this class was refused before it got this far. */
   void refused(String serviceClass);
--- a/src/main/java/beamspread/node/wire/MetaReply.java
+++ b/src/main/java/beamspread/node/wire/MetaReply.java
@@ -3,6 +3,8 @@
 import beamspread.model.LoadReport;
 import beamspread.model.Outcome;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
@@ -38,6 +40,26 @@
             && (command.request.write() ? receipt != null : value != null || following > 0);
   }
 
+  /** The answer to the client that this good reply stands for. */
+  public ByteBuf clientAnswer(ByteBufAllocator allocator) {
+    int size = value == null ? 0 : value.readableBytes();
+    ByteBuf bytes = allocator.buffer(id.length() + 48 + size);
+    if (value == null) {
+      ByteBufUtil.writeAscii(bytes, "HD O");
+      ByteBufUtil.writeAscii(bytes, id);
+      ByteBufUtil.writeAscii(bytes, " c");
+      ByteBufUtil.writeAscii(bytes, receipt);
+    } else {
+      ByteBufUtil.writeAscii(bytes, "VA ");
+      ByteBufUtil.writeAscii(bytes, Integer.toString(size - 2));
+      ByteBufUtil.writeAscii(bytes, " O");
+      ByteBufUtil.writeAscii(bytes, id);
+    }
+    bytes.writeShort(0x0D0A);
+    return size > 0 ? bytes.writeBytes(value, value.readerIndex(), size) : bytes;
+  }
+
+  /** Lets the value go. */
   public void release() {
     if (value != null) {
       value.release();
--- a/src/main/java/beamspread/policy/Actions.java
+++ b/src/main/java/beamspread/policy/Actions.java
@@ -17,6 +17,9 @@
   /** Asks for a timer event with this token. */
   void wake(long token, double delay);
 
+  /** A timer event is no longer wanted; it may come all the same. */
+  default void cancelWake(long token) {}
+
   /** Subscribes to changes of the server list, or stops. */
   void subscribe(boolean on);
 
--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -277,10 +277,7 @@
         }
         continue;
       }
-      if (coldFull(now, server)) {
-        continue;
-      }
-      if (!server.keeps(now, p.keyHash, greatestShare)) {
+      if (coldFull(now, server) || !server.keeps(now, p.keyHash, greatestShare)) {
         continue;
       }
       int cap = LoadCap.cap(inFlight + 1, weight(server), totalWeight, settings);
@@ -338,6 +335,8 @@
   private void over(PendingRequest p) {
     p.answered = true;
     bySerial.remove(p.serial);
+    actions.cancelWake(p.serial);
+    actions.cancelWake(p.serial + HOLD);
     if (p.out == 0) {
       pending.remove(p.request.id());
     }
--- a/src/test/java/beamspread/ArchitectureTest.java
+++ b/src/test/java/beamspread/ArchitectureTest.java
@@ -60,7 +60,9 @@
   @Test
   void theDecisionsAboutConnectionsAndLargeValuesArePure() {
     for (String decides :
-        new String[] {"beamspread.pool..", "beamspread.relay..", "beamspread.tier.."}) {
+        new String[] {
+          "beamspread.pool..", "beamspread.relay..", "beamspread.tier..", "beamspread.overload.."
+        }) {
       classes()
           .that()
           .resideInAPackage(decides)
@@ -153,6 +155,7 @@
             "beamspread.policy..",
             "beamspread.sim..",
             "beamspread.loop..",
+            "beamspread.overload..",
             "beamspread.pool..",
             "beamspread.relay..",
             "beamspread.maintenance..",
--- a/src/test/java/beamspread/loop/LoopWatchTest.java
+++ b/src/test/java/beamspread/loop/LoopWatchTest.java
@@ -53,4 +53,33 @@
     watch.waits(22 * MS, 100 * MS);
     assertThat(watch.longestNanos()).isEqualTo(6 * MS);
   }
+
+  @Test
+  void whatIsReadAfterAStallMayHaveWaitedSinceTheLastLook() {
+    watch.waits(1 * MS, 100 * MS);
+    watch.ran(20 * MS, 0);
+    watch.waits(22 * MS, 100 * MS);
+    assertThat(watch.unreadNanos(90 * MS)).as("in time").isZero();
+    assertThat(watch.unreadNanos(171 * MS)).as("hardly late").isZero();
+    assertThat(watch.unreadNanos(1122 * MS)).as("a late wake-up").isEqualTo(1102 * MS);
+    watch.ran(1123 * MS, 1 * MS);
+    assertThat(watch.unreadNanos(1124 * MS)).as("within the same turn").isEqualTo(1002 * MS);
+    watch.waits(1130 * MS, 100 * MS);
+    assertThat(watch.unreadNanos(1131 * MS)).as("all that had come was read").isZero();
+  }
+
+  @Test
+  void whatIsReadAfterALongTurnMayHaveWaitedSinceItBegan() {
+    assertThat(watch.unreadNanos(5 * MS)).as("before the first look").isZero();
+    watch.waits(10 * MS, 100 * MS);
+    watch.ran(20 * MS, 0);
+    assertThat(watch.unreadNanos(60 * MS)).isZero();
+    assertThat(watch.unreadNanos(80 * MS)).isEqualTo(60 * MS);
+    watch.waits(520 * MS, 0);
+    assertThat(watch.unreadNanos(521 * MS)).as("what the turn left").isEqualTo(501 * MS);
+    watch.ran(522 * MS, 1 * MS);
+    watch.waits(523 * MS, 100 * MS);
+    assertThat(watch.unreadNanos(524 * MS)).as("the loop keeps up again").isZero();
+    assertThat(watch.turn()).isEqualTo(3);
+  }
 }
--- a/src/test/java/beamspread/node/EverNewTest.java
+++ b/src/test/java/beamspread/node/EverNewTest.java
@@ -107,7 +107,9 @@
         assertThat(served).isGreaterThan(MANY * 9 / 10);
         Peers.await("clients' ends", () -> node.clients() == 0);
         Map<String, Integer> held = node.loop().submit(() -> Retained.by(node)).get();
-        assertThat(held).containsKeys("Targets.listed", "Pools.leaving", "Dispatcher.open");
+        assertThat(held)
+            .containsKeys(
+                "Targets.listed", "Pools.leaving", "OpenRequests.byId", "WakeTimers.byToken");
         assertThat(held.get("MembershipFeed.servers")).isLessThanOrEqualTo(LISTED);
         held.forEach(
             (name, size) -> {
--- a/src/test/java/beamspread/node/ServeProcess.java
+++ b/src/test/java/beamspread/node/ServeProcess.java
@@ -54,23 +54,26 @@
   }
 
   Process launch() throws IOException {
-    return launch(List.of());
+    return launch(List.of(), List.of());
+  }
+
+  /** One whose virtual machine is given these words. */
+  Process launch(List<String> machine) throws IOException {
+    return launch(List.of(), machine);
   }
 
   /** One that may hold no more descriptors than its configuration says. */
   Process launchWithin(int descriptors) throws IOException {
-    return launch(List.of("sh", "-c", "ulimit -n " + descriptors + " && exec \"$@\"", "sh"));
+    List<String> limited =
+        List.of("sh", "-c", "ulimit -n " + descriptors + " && exec \"$@\"", "sh");
+    return launch(limited, List.of());
   }
 
-  private Process launch(List<String> through) throws IOException {
+  private Process launch(List<String> through, List<String> machine) throws IOException {
     List<String> words = new ArrayList<>(through);
-    words.addAll(
-        List.of(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-cp",
-            System.getProperty("java.class.path"),
-            "beamspread.Main",
-            "serve"));
+    words.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    words.addAll(machine);
+    words.addAll(List.of("-cp", System.getProperty("java.class.path"), "beamspread.Main", "serve"));
     ProcessBuilder builder = new ProcessBuilder(words);
     builder.environment().put("ROUTER_CONFIG", config.toString());
     builder.environment().put("TMPDIR", folder.toString());
--- a/src/test/java/beamspread/node/client/ClientConnectionsTest.java
+++ b/src/test/java/beamspread/node/client/ClientConnectionsTest.java
@@ -21,7 +21,7 @@
   private static final Requests SILENT =
       new Requests() {
         @Override
-        public Taken request(MetaCommand command, ClientHandler.Slot slot) {
+        public Taken request(MetaCommand command, ClientHandler.Slot slot, long unreadNanos) {
           throw new AssertionError("nobody asks");
         }
 
