Lists of up to 1,024 nodes and servers everywhere; a scene of twenty nodes that are stopped

Need: no cap below 1,024 on lists of nodes or cache servers. ScaleFileTest and EmulatorTest name the new bounds, with an input beyond them. The judge of requests excused any request whose node was stopped for some of its time.

--- a/src/main/java/beamspread/chaos/RequestsJudge.java
+++ b/src/main/java/beamspread/chaos/RequestsJudge.java
@@ -16,6 +16,9 @@
   /** The part of the requests that must be served then. */
   private static final double SERVED = 0.9;
 
+  /** What a process that was stopped needs to answer all that is due when it runs again. */
+  private static final long RESUME_NANOS = 150_000_000L;
+
   private RequestsJudge() {}
 
   static List<Breach> judge(List<History.Event> events) {
@@ -96,8 +99,9 @@
   }
 
   /**
-   * Whether nobody could have helped it: a node that had it stood still, or could not be heard or
-   * reached by the client, for some of its time. A client can't know; nor can who is cut off.
+   * Whether nobody could have helped it: a node that had it was stopped until its time was over, or
+   * could not be heard or reached by the client for some of it. A client can't know; nor can who is
+   * cut off. A node that runs again before the time is over has to answer within it.
    */
   private static boolean excused(History.Event lost, List<History.Event> faults) {
     if (tried(lost).isEmpty()) {
@@ -107,8 +111,14 @@
     long from = lost.atNanos() - lost.number("waited", 0);
     for (History.Event event : faults) {
       Fault fault = (Fault) event.facts().get("whom");
-      boolean meanwhile = event.atNanos() + fault.forNanos() >= from;
-      if (meanwhile && tried(lost).stream().anyMatch(node -> silences(fault, node))) {
+      long endedAt = event.atNanos() + fault.forNanos();
+      boolean meanwhile = endedAt >= from;
+      boolean untilTheEnd = endedAt + RESUME_NANOS >= lost.atNanos();
+      if (tried(lost).stream()
+          .anyMatch(
+              node ->
+                  meanwhile && silences(fault, node)
+                      || untilTheEnd && event.atNanos() < lost.atNanos() && stops(fault, node))) {
         return true;
       }
     }
@@ -116,8 +126,11 @@
   }
 
   private static boolean silences(Fault fault, String node) {
-    return fault.kind() == Fault.Kind.PAUSE && fault.befalls(node)
-        || fault.kind() != Fault.Kind.RESET
-            && (fault.befalls(NodesScene.CLIENTS, node) || fault.befalls(node, NodesScene.CLIENTS));
+    return fault.kind() != Fault.Kind.RESET
+        && (fault.befalls(NodesScene.CLIENTS, node) || fault.befalls(node, NodesScene.CLIENTS));
+  }
+
+  private static boolean stops(Fault fault, String node) {
+    return fault.kind() == Fault.Kind.PAUSE && fault.befalls(node);
   }
 }
--- a/src/main/java/beamspread/chaos/ScheduleFile.java
+++ b/src/main/java/beamspread/chaos/ScheduleFile.java
@@ -21,6 +21,9 @@
     Supplier<Scene> scene, String sceneName, Schedule named, Schedule.Draw draw) {
   private static final double LONGEST_SECONDS = 600;
 
+  /** Processes of one kind that a scene may have. */
+  private static final int MOST_PROCESSES = 1024;
+
   /** SIGSTOP for longer is a death in all but name. */
   private static final double LONGEST_PAUSE = 20;
 
@@ -87,15 +90,15 @@
       }
       case "rollout" -> {
         table.only(Set.of("agents", "instances", "callers"));
-        int agents = table.number("agents", 2, 1, 16);
-        int instances = table.number("instances", 3, 1, 32);
+        int agents = table.number("agents", 2, 1, MOST_PROCESSES);
+        int instances = table.number("instances", 3, 1, MOST_PROCESSES);
         int callers = table.number("callers", 2, 1, 16);
         return () -> new RolloutScene(agents, instances, callers);
       }
       case "nodes" -> {
         table.only(Set.of("nodes", "servers", "rate", "tier"));
-        int nodes = table.number("nodes", 4, 2, 100);
-        int servers = table.number("servers", 4, 1, 64);
+        int nodes = table.number("nodes", 4, 2, MOST_PROCESSES);
+        int servers = table.number("servers", 4, 1, MOST_PROCESSES);
         double rate = table.decimal("rate", 200, 1, 5000);
         boolean tier = table.flag("tier", false);
         return () -> new NodesScene(nodes, servers, rate, tier);
--- a/src/main/java/beamspread/cli/MeasureReload.java
+++ b/src/main/java/beamspread/cli/MeasureReload.java
@@ -39,11 +39,13 @@
     mixinStandardHelpOptions = true,
     footer = {"", "Example: ./beamspread measure reload --sizes 3,10,30,100 --rounds 7"})
 final class MeasureReload implements Callable<Integer> {
+  private static final int MOST_INSTANCES = 1024;
+
   @Option(
       names = "--sizes",
       split = ",",
       defaultValue = "3,10,30",
-      description = "numbers of instances, 1 to 200 each (default: 3,10,30)")
+      description = "numbers of instances, 1 to 1024 each (default: 3,10,30)")
   private List<Integer> sizes;
 
   @Option(names = "--real", description = "over real nodes, not over small stand-in processes")
@@ -85,9 +87,10 @@
           spec.commandLine(), "--agents 1 to 20, --rounds 1 to 1000, --idle 1 to 600");
     }
     for (int size : sizes) {
-      if (size < agents || size > 200) {
+      if (size < agents || size > MOST_INSTANCES) {
         throw new CommandLine.ParameterException(
-            spec.commandLine(), "a size must be between the number of agents and 200");
+            spec.commandLine(),
+            "a size must be between the number of agents and " + MOST_INSTANCES);
       }
     }
     out.println(
--- a/src/main/java/beamspread/cli/MeasureStart.java
+++ b/src/main/java/beamspread/cli/MeasureStart.java
@@ -69,7 +69,7 @@
     if (rounds < 1 || rounds > 200) {
       throw new CommandLine.ParameterException(spec.commandLine(), "--rounds must be 1 to 200");
     }
-    Bounds.check(spec.commandLine(), "--together", together, 0, 100);
+    Bounds.check(spec.commandLine(), "--together", together, 0, 1024);
     if (cores != null && !cores.matches("[0-9]+([-,][0-9]+)*")) {
       throw new CommandLine.ParameterException(
           spec.commandLine(), "--cores takes numbers such as 0,1 or 0-3");
--- a/src/main/java/beamspread/cli/MeasureTier.java
+++ b/src/main/java/beamspread/cli/MeasureTier.java
@@ -50,7 +50,7 @@
           new MembershipTrial.Conditions(0, 0, 5),
           AIM);
 
-  @Option(names = "--members", defaultValue = "100", description = "3 to 1000 (default: 100)")
+  @Option(names = "--members", defaultValue = "100", description = "3 to 4096 (default: 100)")
   private int members;
 
   @Option(
@@ -81,7 +81,7 @@
 
   @Override
   public Integer call() {
-    Bounds.check(spec.commandLine(), "--members", members, 3, 1000);
+    Bounds.check(spec.commandLine(), "--members", members, 3, 4096);
     Bounds.check(spec.commandLine(), "--minutes", minutes, 1, 10_000);
     Bounds.check(spec.commandLine(), "--seeds", seeds, 1, 1000);
     Bounds.check(spec.commandLine(), "--bytes", bytes, 500, 100_000);
--- a/src/main/java/beamspread/lab/Experiment.java
+++ b/src/main/java/beamspread/lab/Experiment.java
@@ -111,7 +111,7 @@
     TomlFile.Table fleet = from.table("fleet");
     fleet.only(Set.of("nodes", "zones", "policy"));
     return new Fleet(
-        fleet.number("nodes", as.nodes(), 1, 1000),
+        fleet.number("nodes", as.nodes(), 1, Fleet.MOST_NODES),
         fleet.number("zones", as.zones(), 1, 16),
         boxes(from, as.boxes()),
         origin(from.table("origin"), as.origin()),
--- a/src/main/java/beamspread/lab/Fleet.java
+++ b/src/main/java/beamspread/lab/Fleet.java
@@ -36,6 +36,9 @@
   /** Requests that a node has open at most. */
   public static final int MOST_OPEN = 20_000;
 
+  /** Nodes that a fleet may have. */
+  static final int MOST_NODES = 4096;
+
   /**
    * Boxes of one kind.
    *
@@ -255,7 +258,10 @@
   /** All that makes no sense here, in words for operators; empty if nothing is wrong. */
   List<String> faultsFound() {
     List<String> found = new ArrayList<>();
-    check(found, nodes >= 1 && nodes <= 1000, "nodes must be 1 to 1000, is " + nodes);
+    check(
+        found,
+        nodes >= 1 && nodes <= MOST_NODES,
+        "nodes must be 1 to " + MOST_NODES + ", is " + nodes);
     check(found, zones >= 1 && zones <= 16, "zones must be 1 to 16, is " + zones);
     check(found, boxCount() >= 1 && boxCount() <= 10_000, "there must be 1 to 10000 boxes");
     for (BoxKind kind : boxes) {
--- a/src/main/java/beamspread/scale/ScaleFile.java
+++ b/src/main/java/beamspread/scale/ScaleFile.java
@@ -32,7 +32,10 @@
     int deaths,
     int mostMembers,
     Map<String, Double> aims) {
-  private static final int MOST = 1000;
+  private static final int MOST = 4096;
+
+  /** Membership is played up to this size where the file names none. */
+  private static final int USUAL_MEMBERS = 1000;
 
   private static final Set<String> ROOT =
       Set.of(
@@ -63,7 +66,7 @@
     int waves = root.number("waves", 5, 1, 1000);
     int calls = root.number("calls", 5, 1, 1000);
     int deaths = root.number("deaths", 2, 0, 1000);
-    int mostMembers = root.number("most_members", MOST, 3, MOST);
+    int mostMembers = root.number("most_members", USUAL_MEMBERS, 3, MOST);
     Map<String, Double> aims = new TreeMap<>();
     TomlFile.Table table = root.table("aims");
     for (String name : Figures.NAMES) {
--- a/src/test/java/beamspread/chaos/JudgesTest.java
+++ b/src/test/java/beamspread/chaos/JudgesTest.java
@@ -249,6 +249,20 @@
     assertThat(requests()).containsExactly("request lost");
   }
 
+  @Test
+  void aStoppedNodeIsExcusedOnlyWhereItDidNotRunAgainInTime() {
+    befalls(Fault.Kind.PAUSE, "n0");
+    lost("n0");
+    assertThat(requests()).containsExactly("request lost");
+    now += SECOND;
+    Fault outlasts =
+        new Fault(
+            Fault.Kind.PAUSE, now, 2 * SECOND, List.of("n0"), List.of(), LinkState.CLEAR, false);
+    tell(History.What.FAULT, "rig", outlasts.says(), "whom", outlasts);
+    lost("n0");
+    assertThat(requests()).as("only the first").containsExactly("request lost");
+  }
+
   @Test
   void whileTheMachineItselfStandsTimeIsNotJudged() {
     tell(History.What.SEEN, "rig", "stood", Run.STOOD, SECOND / 2);
--- a/src/test/java/beamspread/chaos/ScenesTest.java
+++ b/src/test/java/beamspread/chaos/ScenesTest.java
@@ -129,6 +129,19 @@
     assertThat(outcome.breaches()).isEmpty();
   }
 
+  /** Twenty nodes under client load, half of which are stopped in turn, for up to two seconds. */
+  @Test
+  void nodesThatAreStoppedAnswerWhatTheyCanOnceTheyRunAgain() throws Exception {
+    Fault[] stops = new Fault[20];
+    double[] lengths = {0.3, 1, 2, 0.6, 1.4};
+    for (int i = 0; i < stops.length; i++) {
+      double length = lengths[i % lengths.length];
+      stops[i] = process(Fault.Kind.PAUSE, 0.5 + i * 0.5, length, "n" + i % 10 * 2);
+    }
+    Run.Outcome outcome = play("stalls", new NodesScene(20, 4, 400), 5.5, stops);
+    assertThat(outcome.breaches()).isEmpty();
+  }
+
   /** Twelve nodes that know one another, under client load, through the hard cases. */
   @Test
   void nodesKnowWhoIsThereThroughPausesCutsLossesAndDeaths() throws Exception {
--- a/src/test/java/beamspread/lab/EmulatorTest.java
+++ b/src/test/java/beamspread/lab/EmulatorTest.java
@@ -185,7 +185,7 @@
                     name = "base"
                     """))
         .isInstanceOf(TomlFaults.class)
-        .hasMessageContaining("lab.toml:2: fleet.nodes: must be 1 to 1000")
+        .hasMessageContaining("lab.toml:2: fleet.nodes: must be 1 to 4096")
         .hasMessageContaining("lab.toml:4: load.rate")
         .hasMessageContaining("lab.toml:5: load.skrew: unknown key")
         .hasMessageContaining("lab.toml:6: load.distribution")
--- a/src/test/java/beamspread/scale/ScaleFileTest.java
+++ b/src/test/java/beamspread/scale/ScaleFileTest.java
@@ -32,7 +32,7 @@
     Path file =
         file(
             """
-            sizes = [10, 5, 2000]
+            sizes = [10, 5, 5000]
             design = 7
             seconds = 0
             colour = "red"
@@ -48,7 +48,7 @@
                     .containsExactlyInAnyOrder(
                         file + ":4: colour: unknown key",
                         file + ":1: sizes: must rise, 5 does not",
-                        file + ":1: sizes: each must be 1 to 1000, one is 2000",
+                        file + ":1: sizes: each must be 1 to 4096, one is 5000",
                         file + ":2: design: must be one of the sizes, is 7",
                         file + ":3: seconds: must be 1 to 600, is 0",
                         file + ":6: aims.node.colour: unknown key",
