--- a/src/main/java/beamspread/agent/AgentCore.java
+++ b/src/main/java/beamspread/agent/AgentCore.java
@@ -4,13 +4,11 @@
 import beamspread.fleet.api.Json;
 import beamspread.fleet.api.Kind;
 import beamspread.fleet.api.Outcome;
+import beamspread.lease.FencingToken;
 import beamspread.record.RecordChange;
 import beamspread.record.Rows;
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -36,13 +34,9 @@
   private static final Logger LOG = LoggerFactory.getLogger("agent");
   private static final int WORKERS = 4;
   private static final int MOST_WAITERS = 256;
-  private static final int MOST_INSTANCES_ASKED = 10_000;
   private static final long SWEEP_MILLIS = 250;
   private static final long TRIM_MILLIS = 10_000;
-  private static final long LEAST_TTL_MILLIS = 100;
-  private static final long LONGEST_TTL_MILLIS = 600_000;
   private static final long LONGEST_WAIT_MILLIS = 20_000;
-  private static final String ID = "[A-Za-z0-9._-]{1,80}";
 
   /** Points in a reload at which a test can end the agent. */
   enum Point {
@@ -60,13 +54,20 @@
   private final ProcessTable processes;
   private final StatusClient statuses;
   private final long starts;
-  private final LeaseBook leases;
+  private final InstanceLeases leases;
+  private final Fencing fencing;
+  private final OperationViews views;
+  private final OperationCalls operationCalls;
   private final EventLog events;
   private final Consumer<Point> probe;
   private final Map<String, Managed> instances = new TreeMap<>();
   private final List<Waiter> waiters = new ArrayList<>();
   private final ScheduledThreadPoolExecutor thread;
   private final ExecutorService workers;
+
+  /** Writes fencing tokens, one after the other. */
+  private final ExecutorService disk;
+
   private String trouble;
 
   /**
@@ -86,11 +87,15 @@
     this.statuses = statuses;
     this.starts = starts;
     this.probe = probe;
-    this.leases = new LeaseBook(starts << 32);
+    this.leases = new InstanceLeases(starts << 32);
+    this.fencing = new Fencing(new FencingFile(config.folder().resolve("fencing-tokens.json")));
+    this.views = new OperationViews(keeper, config.name(), this::heldBack);
+    this.operationCalls = new OperationCalls(this, instances, leases, fencing, keeper, views);
     this.events = new EventLog(config.name());
     this.thread = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "agent"));
     this.thread.setRemoveOnCancelPolicy(true);
     this.workers = Executors.newFixedThreadPool(WORKERS, task -> new Thread(task, "agent-work"));
+    this.disk = Executors.newSingleThreadExecutor(task -> new Thread(task, "agent-tokens"));
     for (AgentConfig.Instance instance : config.instances()) {
       instances.put(instance.name(), new Managed(this, instance, config.folder()));
     }
@@ -117,7 +122,7 @@
           for (Rows.Lease row : memory.leases()) {
             leases.restore(
                 now(),
-                new LeaseBook.Lease(
+                new InstanceLeases.Lease(
                     row.instance(),
                     row.token(),
                     row.lease(),
@@ -201,18 +206,19 @@
     expire();
   }
 
-  private void expire() {
-    List<LeaseBook.Lease> expired = leases.expire(now());
+  void expire() {
+    List<InstanceLeases.Lease> expired = leases.expire(now());
     if (!expired.isEmpty()) {
       ended(expired, "interrupted");
     }
   }
 
   /** Notes that leases have ended, and with them their operations. */
-  private CompletableFuture<Void> ended(List<LeaseBook.Lease> gone, String state) {
+  CompletableFuture<Void> ended(List<InstanceLeases.Lease> gone, String state) {
     List<RecordChange> changes = new ArrayList<>();
     Set<String> operations = new HashSet<>();
-    for (LeaseBook.Lease lease : gone) {
+    for (InstanceLeases.Lease lease : gone) {
+      fencing.over(lease.session());
       changes.add(new RecordChange.LeaseEnded(lease.instance(), lease.token()));
       operations.add(lease.operation());
       event("lease_ended", lease.instance(), null, state, lease.operation());
@@ -310,7 +316,7 @@
       line = line.addKeyValue("operation", step.operation());
       line = line.addKeyValue("step", step.kind().word() + "/" + step.attempt());
     }
-    LeaseBook.Lease lease = leases.holder(now(), instance);
+    InstanceLeases.Lease lease = leases.holder(now(), instance);
     if (lease != null) {
       line = line.addKeyValue("token", lease.token());
     }
@@ -324,7 +330,8 @@
 
   // The API. Each call may come from any thread.
 
-  private interface Call<T> {
+  /** What a call does on the agent's thread. */
+  interface Call<T> {
     CompletableFuture<T> run() throws Refusal;
   }
 
@@ -353,6 +360,36 @@
     return answer;
   }
 
+  /**
+   * Runs a call that acts, unless the lease that it is done under has passed to a later owner. What
+   * proves that it has not is on the disk before the call begins.
+   *
+   * @param token what the caller showed; null for nothing
+   */
+  <T> CompletableFuture<T> fenced(FencingToken token, Call<T> acts) {
+    return call(
+        () -> {
+          fencing.check(token);
+          return fencing
+              .keep(token, disk, this::execute)
+              .thenCompose(
+                  kept -> {
+                    try {
+                      // A later owner may have come while this one's token was written.
+                      fencing.check(token);
+                      return acts.run();
+                    } catch (Refusal e) {
+                      return CompletableFuture.failedFuture(e);
+                    }
+                  });
+        });
+  }
+
+  /** The calls that act. */
+  OperationCalls operationCalls() {
+    return operationCalls;
+  }
+
   CompletableFuture<Api.AgentView> agent() {
     return call(
         () ->
@@ -365,7 +402,15 @@
                         ? config.record().file().toString()
                         : config.record().url(),
                     instances.size(),
-                    keeper.trouble() != null ? keeper.trouble() : trouble)));
+                    trouble())));
+  }
+
+  /** What keeps this agent from working fully; null if nothing does. */
+  private String trouble() {
+    if (fencing.trouble() != null) {
+      return fencing.trouble();
+    }
+    return keeper.trouble() != null ? keeper.trouble() : trouble;
   }
 
   CompletableFuture<Api.Instances> instances() {
@@ -401,16 +446,16 @@
   }
 
   private Api.InstanceView view(Managed instance) {
-    LeaseBook.Lease lease = leases.holder(now(), instance.config.name());
+    InstanceLeases.Lease lease = leases.holder(now(), instance.config.name());
     return instance.view(lease == null ? null : holder(lease));
   }
 
-  private static Api.Holder holder(LeaseBook.Lease lease) {
+  static Api.Holder holder(InstanceLeases.Lease lease) {
     return new Api.Holder(
         lease.instance(), lease.operation(), lease.kind(), lease.by(), lease.sinceMillis());
   }
 
-  private Managed managed(String name) throws Refusal {
+  Managed managed(String name) throws Refusal {
     Managed instance = instances.get(name);
     if (instance == null) {
       throw new Refusal(
@@ -419,268 +464,6 @@
     return instance;
   }
 
-  private static void check(boolean holds, String message) throws Refusal {
-    if (!holds) {
-      throw new Refusal(400, "bad_request", message);
-    }
-  }
-
-  CompletableFuture<Api.LeaseGiven> lease(Api.LeaseAsk ask) {
-    return call(
-        () -> {
-          check(ask.lease() != null && ask.lease().matches(ID), "lease is no id");
-          check(ask.operation() != null && ask.operation().matches(ID), "operation is no id");
-          check(ask.kind() != null, "kind is missing");
-          check(
-              ask.by() != null && !ask.by().isBlank() && ask.by().length() <= 100,
-              "by must name who asks, in at most 100 characters");
-          check(
-              ask.ttlMs() >= LEAST_TTL_MILLIS && ask.ttlMs() <= LONGEST_TTL_MILLIS,
-              "ttl_ms must be " + LEAST_TTL_MILLIS + " to " + LONGEST_TTL_MILLIS);
-          check(
-              ask.instances() != null
-                  && !ask.instances().isEmpty()
-                  && ask.instances().size() <= MOST_INSTANCES_ASKED,
-              "instances must name 1 to " + MOST_INSTANCES_ASKED);
-          for (String name : ask.instances()) {
-            managed(name);
-          }
-          expire();
-          List<Api.Holder> holders = holders(ask);
-          if (!holders.isEmpty()) {
-            Api.Holder first = holders.get(0);
-            throw new Refusal(
-                409,
-                "held",
-                first.instance()
-                    + " is held by "
-                    + first.by()
-                    + " for "
-                    + first.kind()
-                    + " "
-                    + first.operation()
-                    + (holders.size() > 1 ? ", and " + (holders.size() - 1) + " more" : "")
-                    + ": wait for its end, or look at it with 'fleet show "
-                    + first.operation()
-                    + "'",
-                holders);
-          }
-          return give(ask);
-        });
-  }
-
-  /** Who keeps the asker from what it asks for: leases, and steps that outlive their lease. */
-  private List<Api.Holder> holders(Api.LeaseAsk ask) {
-    Map<String, Api.Holder> holders = new LinkedHashMap<>();
-    for (LeaseBook.Lease lease : leases.conflicts(now(), ask.lease(), ask.instances())) {
-      holders.put(lease.instance(), holder(lease));
-    }
-    for (String name : ask.instances()) {
-      Step step = instances.get(name).holding();
-      LeaseBook.Lease lease = leases.holder(now(), name);
-      boolean mine = lease != null && lease.session().equals(ask.lease());
-      if (step != null && !mine) {
-        holders.putIfAbsent(
-            name,
-            new Api.Holder(
-                name,
-                step.operation(),
-                step.kind().word(),
-                "somebody whose lease has run out while a step is under way",
-                millis()));
-      }
-    }
-    return List.copyOf(holders.values());
-  }
-
-  private CompletableFuture<Api.LeaseGiven> give(Api.LeaseAsk ask) {
-    List<LeaseBook.Lease> given =
-        leases.take(
-            now(),
-            ask.lease(),
-            ask.operation(),
-            ask.kind().word(),
-            ask.by(),
-            ask.instances(),
-            ask.ttlMs() * 1_000_000,
-            millis());
-    List<RecordChange> changes = new ArrayList<>();
-    changes.add(
-        new RecordChange.OperationBegun(
-            ask.operation(),
-            ask.kind().word(),
-            ask.by(),
-            ask.plan() == null ? "null" : Json.text(ask.plan()),
-            millis()));
-    Map<String, Long> tokens = new TreeMap<>();
-    for (LeaseBook.Lease lease : given) {
-      tokens.put(lease.instance(), lease.token());
-      changes.add(
-          new RecordChange.LeaseTaken(
-              lease.instance(),
-              lease.token(),
-              lease.session(),
-              lease.operation(),
-              lease.kind(),
-              lease.by(),
-              lease.sinceMillis(),
-              ask.ttlMs()));
-    }
-    CompletableFuture<Api.LeaseGiven> answer = new CompletableFuture<>();
-    write(
-        changes,
-        failure -> {
-          if (failure == null) {
-            for (String name : tokens.keySet()) {
-              event("lease_taken", name, null, ask.by(), ask.kind().word() + " " + ask.operation());
-            }
-            answer.complete(new Api.LeaseGiven(ask.ttlMs(), tokens));
-          } else {
-            ended(leases.release(ask.lease()), "refused");
-            answer.completeExceptionally(unrecorded(failure));
-          }
-        });
-    return answer;
-  }
-
-  private static Refusal unrecorded(String failure) {
-    return new Refusal(
-        503, "record", "nothing was begun, since it could not be put on record: " + failure);
-  }
-
-  CompletableFuture<Api.LeaseGiven> renew(Api.LeaseEnd renewal) {
-    return call(
-        () -> {
-          if (leases.renew(now(), renewal.lease()) == 0) {
-            throw new Refusal(
-                409, "lease_gone", "no lease of this session is held here: it has run out");
-          }
-          return CompletableFuture.completedFuture(new Api.LeaseGiven(0, Map.of()));
-        });
-  }
-
-  CompletableFuture<Api.LeaseGiven> release(Api.LeaseEnd end) {
-    return call(
-        () -> {
-          check(
-              end.state() != null && Set.of("ended", "stopped", "refused").contains(end.state()),
-              "state must be 'ended', 'stopped' or 'refused'");
-          List<LeaseBook.Lease> released = leases.release(end.lease());
-          if (released.isEmpty()) {
-            return CompletableFuture.completedFuture(new Api.LeaseGiven(0, Map.of()));
-          }
-          return ended(released, end.state()).thenApply(nothing -> new Api.LeaseGiven(0, Map.of()));
-        });
-  }
-
-  CompletableFuture<Api.OperationView> steps(Api.StepsAsk ask) {
-    return call(
-        () -> {
-          check(ask.operation() != null && ask.operation().matches(ID), "operation is no id");
-          check(ask.kind() != null, "kind is missing");
-          check(ask.steps() != null && !ask.steps().isEmpty(), "steps is empty");
-          Set<String> names = new HashSet<>();
-          for (Api.StepAsk step : ask.steps()) {
-            check(step.instance() != null, "a step names no instance");
-            managed(step.instance());
-            check(names.add(step.instance()), step.instance() + " stands twice");
-            check(step.attempt() >= 1, "attempt counts from 1");
-          }
-          CompletableFuture<Api.OperationView> answer = new CompletableFuture<>();
-          keeper
-              .read(record -> record.steps(ask.operation()))
-              .whenComplete(
-                  (known, failure) ->
-                      execute(
-                          () -> {
-                            if (failure != null) {
-                              answer.completeExceptionally(unrecorded(failure.getMessage()));
-                              return;
-                            }
-                            try {
-                              beginSteps(ask, known, answer);
-                            } catch (Refusal | RuntimeException e) {
-                              answer.completeExceptionally(e);
-                            }
-                          }));
-          return answer;
-        });
-  }
-
-  private void beginSteps(
-      Api.StepsAsk ask, List<Rows.Step> known, CompletableFuture<Api.OperationView> answer)
-      throws Refusal {
-    List<Step> fresh = new ArrayList<>();
-    List<RecordChange> changes = new ArrayList<>();
-    for (Api.StepAsk asked : ask.steps()) {
-      Step step = new Step(ask.operation(), asked.instance(), asked.attempt(), ask.kind());
-      Managed instance = managed(asked.instance());
-      boolean recorded =
-          known.stream()
-              .anyMatch(
-                  row -> row.instance().equals(step.instance()) && row.attempt() == step.attempt());
-      if (recorded || step.equals(instance.holding())) {
-        // Asked a second time, since the first answer was lost: it is done once.
-        continue;
-      }
-      String refusal = leases.refusal(now(), step.instance(), asked.token(), step.operation());
-      if (refusal != null) {
-        throw new Refusal(409, "stale_token", refusal);
-      }
-      if (instance.holding() != null) {
-        throw new Refusal(
-            409, "busy", step.instance() + " has a step under way: " + instance.holding());
-      }
-      fresh.add(step);
-      changes.add(
-          new RecordChange.StepBegun(
-              step.operation(),
-              step.instance(),
-              step.attempt(),
-              step.kind().word(),
-              asked.token(),
-              millis()));
-      if (step.kind() != Kind.RELOAD) {
-        changes.add(new RecordChange.InstanceDesired(step.instance(), step.kind() != Kind.STOP));
-      }
-    }
-    fresh.forEach(step -> instances.get(step.instance()).hold(step));
-    if (fresh.isEmpty()) {
-      answerWith(answer, ask.operation());
-      return;
-    }
-    write(
-        changes,
-        failure -> {
-          for (Step step : fresh) {
-            Managed instance = instances.get(step.instance());
-            if (failure != null) {
-              instance.letGo();
-            } else {
-              event("step_begun", step.instance(), step, "begun", null);
-              instance.begin(step);
-            }
-          }
-          if (failure != null) {
-            answer.completeExceptionally(unrecorded(failure));
-          } else {
-            answerWith(answer, ask.operation());
-          }
-        });
-  }
-
-  private void answerWith(CompletableFuture<Api.OperationView> answer, String operation) {
-    read(operation)
-        .whenComplete(
-            (view, failure) -> {
-              if (failure == null) {
-                answer.complete(view);
-              } else {
-                answer.completeExceptionally(failure);
-              }
-            });
-  }
-
   /**
    * An operation as it stands; waits until more steps have ended than the caller has seen, or its
    * time is over.
@@ -689,7 +472,7 @@
     return call(
         () -> {
           if (waitMillis <= 0 || waiters.size() >= MOST_WAITERS) {
-            return read(id);
+            return views.read(id);
           }
           CompletableFuture<Void> told = new CompletableFuture<>();
           Waiter waiter = new Waiter(id, told);
@@ -702,97 +485,27 @@
               Math.min(waitMillis, LONGEST_WAIT_MILLIS),
               TimeUnit.MILLISECONDS);
           // Looked at once more after the waiter stands: no end in between is missed.
-          return read(id)
+          return views
+              .read(id)
               .thenCompose(
                   view ->
                       ended(view) > seen
                           ? CompletableFuture.completedFuture(view)
-                          : told.thenCompose(nothing -> read(id)));
+                          : told.thenCompose(nothing -> views.read(id)));
         });
   }
 
-  private static long ended(Api.OperationView view) {
+  static long ended(Api.OperationView view) {
     return view.steps().stream().filter(step -> step.outcome() != null).count();
   }
 
-  /** What of an operation is on record, and nothing else: what is not on record is not told. */
-  private CompletableFuture<Api.OperationView> read(String id) {
-    return keeper
-        .read(
-            record -> {
-              Rows.Operation row = record.operation(id).orElse(null);
-              return row == null ? null : view(row, record.steps(id));
-            })
-        .handle(
-            (view, failure) -> {
-              if (failure != null) {
-                throw new java.util.concurrent.CompletionException(
-                    new Refusal(503, "record", failure.getMessage()));
-              }
-              if (view == null) {
-                throw new java.util.concurrent.CompletionException(
-                    new Refusal(
-                        404,
-                        "unknown_operation",
-                        "agent " + config.name() + " has no operation '" + id + "' on record"));
-              }
-              return view;
-            });
+  private String heldBack(String name) {
+    Managed instance = instances.get(name);
+    return instance == null ? null : instance.heldBack();
   }
 
   CompletableFuture<Api.Operations> operations(int most) {
-    return keeper
-        .read(
-            record -> {
-              List<Api.OperationView> views = new ArrayList<>();
-              for (Rows.Operation row : record.operations(most)) {
-                views.add(view(row, record.steps(row.id())));
-              }
-              return new Api.Operations(views);
-            })
-        .handle(
-            (operations, failure) -> {
-              if (failure != null) {
-                throw new java.util.concurrent.CompletionException(
-                    new Refusal(503, "record", failure.getMessage()));
-              }
-              return operations;
-            });
-  }
-
-  private Api.OperationView view(Rows.Operation row, Collection<Rows.Step> steps) {
-    JsonNode plan;
-    try {
-      plan = Json.readTree(row.plan());
-    } catch (Json.BadJsonException e) {
-      plan = null;
-    }
-    return new Api.OperationView(
-        row.id(),
-        Kind.of(row.kind()),
-        row.by(),
-        plan,
-        row.state(),
-        row.beganMillis(),
-        row.endedMillis(),
-        steps.stream()
-            .map(
-                step ->
-                    new Api.StepView(
-                        step.instance(),
-                        step.attempt(),
-                        Kind.of(step.kind()),
-                        step.outcome() == null ? null : Outcome.of(step.outcome()),
-                        step.outcome() == null ? heldBack(step) : step.reason(),
-                        step.beganMillis(),
-                        step.endedMillis()))
-            .toList());
-  }
-
-  /** Read from another thread for people only: a stale value does no harm. */
-  private String heldBack(Rows.Step step) {
-    Managed instance = instances.get(step.instance());
-    return instance == null ? null : instance.heldBack();
+    return views.operations(most);
   }
 
   /** Has a listener told of events; false if too many listen. */
@@ -809,5 +522,6 @@
   public void close() {
     thread.shutdownNow();
     workers.shutdownNow();
+    disk.shutdownNow();
   }
 }
--- a/src/main/java/beamspread/agent/AgentServer.java
+++ b/src/main/java/beamspread/agent/AgentServer.java
@@ -2,6 +2,7 @@
 
 import beamspread.fleet.api.Api;
 import beamspread.fleet.api.Json;
+import beamspread.lease.FencingToken;
 import beamspread.loop.Listener;
 import beamspread.loop.SocketLook;
 import io.netty.bootstrap.ServerBootstrap;
@@ -333,22 +334,33 @@
           // Also what a browser would not send from another site's page without asking.
           throw new Refusal(415, "bad_request", "Content-Type must be application/json");
         }
+        FencingToken token = fencingToken();
         String text = body.toString(StandardCharsets.UTF_8);
         switch (path.length == 4 ? path[2] + "/" + path[3] : what) {
           case "leases":
-            return core.lease(Json.read(text, Api.LeaseAsk.class));
+            return core.operationCalls().lease(Json.read(text, Api.LeaseAsk.class), token);
           case "leases/renew":
-            return core.renew(Json.read(text, Api.LeaseEnd.class));
+            return core.operationCalls().renew(Json.read(text, Api.LeaseEnd.class), token);
           case "leases/release":
-            return core.release(Json.read(text, Api.LeaseEnd.class));
+            return core.operationCalls().release(Json.read(text, Api.LeaseEnd.class), token);
           case "steps":
-            return core.steps(Json.read(text, Api.StepsAsk.class));
+            return core.operationCalls().steps(Json.read(text, Api.StepsAsk.class), token);
           default:
         }
       }
       throw new Refusal(404, "not_found", "no " + method + " " + uri.path());
     }
 
+    /** What the caller says that it acts under; null for nothing. */
+    private FencingToken fencingToken() throws Refusal {
+      String text = request.headers().get(Api.FENCING_HEADER);
+      try {
+        return text == null ? null : FencingToken.parse(text);
+      } catch (IllegalArgumentException e) {
+        throw new Refusal(400, "bad_request", Api.FENCING_HEADER + ": " + e.getMessage());
+      }
+    }
+
     private static long number(QueryStringDecoder uri, String name, long absent) throws Refusal {
       List<String> values = uri.parameters().get(name);
       if (values == null) {
--- a/src/main/java/beamspread/agent/LeaseBook.java
+++ b/src/main/java/beamspread/agent/InstanceLeases.java
@@ -13,7 +13,7 @@
  * nanoseconds of a clock that never runs backwards; after a restart of the agent leases last their
  * whole time again, since how much of it had passed is not known.
  */
-final class LeaseBook {
+final class InstanceLeases {
   /**
    * A lease.
    *
@@ -44,7 +44,7 @@
   private long lastToken;
 
   /** Tokens are above this one. */
-  LeaseBook(long lastToken) {
+  InstanceLeases(long lastToken) {
     this.lastToken = lastToken;
   }
 
--- a/src/main/java/beamspread/chaos/Caller.java
+++ b/src/main/java/beamspread/chaos/Caller.java
@@ -13,6 +13,8 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * An operator: starts the command line again and again, each time as a process of its own that
@@ -21,6 +23,9 @@
 final class Caller implements Runnable {
   private static final int MOST_OPERATIONS = 200;
 
+  /** What a command says first when it has the lease. */
+  private static final Pattern OWNER = Pattern.compile("owner of \\S+: .*, token (\\d+)");
+
   /** An operation that takes longer is said not to end. */
   static final long LONGEST_SECONDS = 90;
 
@@ -28,6 +33,10 @@
   private final Path inventory;
   private final Stage stage;
   private final SplittableRandom random;
+
+  /** Whether its operations run under the fleet's lease. */
+  private final boolean leased;
+
   private volatile Process process;
   private volatile boolean stop;
   private int operations;
@@ -38,7 +47,18 @@
    * @param agents where it reaches each agent
    */
   Caller(String name, Map<String, InetSocketAddress> agents, Stage stage) throws IOException {
+    this(name, agents, stage, 0);
+  }
+
+  /**
+   * One that works under the fleet's lease.
+   *
+   * @param leaseSeconds how long a lease lasts; 0 for none
+   */
+  Caller(String name, Map<String, InetSocketAddress> agents, Stage stage, int leaseSeconds)
+      throws IOException {
     this.name = name;
+    this.leased = leaseSeconds > 0;
     this.stage = stage;
     this.random = new SplittableRandom(stage.seed() * 37 + name.hashCode());
     this.inventory = stage.folder().resolve(name + ".toml");
@@ -49,6 +69,11 @@
                 toml.append(
                     "[[agent]]\nname = \"%s\"\nurl = \"http://127.0.0.1:%d\"\n"
                         .formatted(agent, at.getPort())));
+    if (leased) {
+      toml.append(
+          "[lease]\nduration_s = %d\nfile = \"%s\"\n"
+              .formatted(leaseSeconds, stage.folder().resolve("leases.db")));
+    }
     Files.writeString(inventory, toml);
   }
 
@@ -94,7 +119,10 @@
     List<String> words =
         new ArrayList<>(
             Program.operations(48, "fleet", "-i", inventory.toString(), "-o", "json", kind));
-    words.addAll(List.of("--all", "--by", name));
+    words.addAll(List.of("--all", "--by", leased ? operation : name));
+    if (leased) {
+      words.add(random.nextInt(4) == 0 ? "--take-over" : "--wait");
+    }
     if (kind.equals("restart")) {
       words.addAll(List.of("--max-unavailable", "1"));
     }
@@ -110,11 +138,28 @@
       started.destroyForcibly().waitFor();
     }
     process = null;
+    tellOwner(operation, Files.readString(err, StandardCharsets.UTF_8));
     int code = ended ? started.exitValue() : -1;
     tell(operation, kind, code, Files.readString(out, StandardCharsets.UTF_8));
     return code;
   }
 
+  /** Tells under which token an operation ran, by its own word. */
+  private void tellOwner(String operation, String err) {
+    Matcher owner = OWNER.matcher(err);
+    if (owner.find()) {
+      long token = Long.parseLong(owner.group(1));
+      stage.tell(
+          History.What.TOLD,
+          name,
+          "owns the work with token " + token,
+          LeaseJudge.OPERATION,
+          operation,
+          LeaseJudge.TOKEN,
+          token);
+    }
+  }
+
   private void tell(String operation, String kind, int code, String report) {
     JsonNode said = report(report);
     for (JsonNode one : said.path("results")) {
--- a/src/main/java/beamspread/chaos/ScheduleFile.java
+++ b/src/main/java/beamspread/chaos/ScheduleFile.java
@@ -89,11 +89,12 @@
         return () -> new StoreScene(writers);
       }
       case "rollout" -> {
-        table.only(Set.of("agents", "instances", "callers"));
+        table.only(Set.of("agents", "instances", "callers", "lease_s"));
         int agents = table.number("agents", 2, 1, MOST_PROCESSES);
         int instances = table.number("instances", 3, 1, MOST_PROCESSES);
         int callers = table.number("callers", 2, 1, 16);
-        return () -> new RolloutScene(agents, instances, callers);
+        int lease = table.number("lease_s", 0, 0, 3600);
+        return () -> new RolloutScene(agents, instances, callers, lease);
       }
       case "nodes" -> {
         table.only(Set.of("nodes", "servers", "rate", "tier"));
--- a/src/main/java/beamspread/cli/ActionCommand.java
+++ b/src/main/java/beamspread/cli/ActionCommand.java
@@ -35,6 +35,7 @@
   @Mixin private SelectOptions select;
   @Mixin private RunOptions run;
   @Mixin private AwayOptions away;
+  @Mixin private LeaseOptions lease;
 
   @Option(names = "--dry-run", description = "print the batches and begin nothing")
   private boolean dryRun;
@@ -117,11 +118,17 @@
       dryRun(plan);
       return unreachable.isEmpty() ? 0 : UNKNOWN;
     }
-    Report report =
-        new RolloutRunner(
-                fleet, RolloutRunner.Limits.usual(), ReportPrinter.progress(err(), targets.size()))
-            .run(id(kind), by(by), plan, Map.of(), List.of());
-    return tell(this, report.without(unreachable));
+    return lease.under(
+        this,
+        fleet,
+        by(by),
+        held -> {
+          var progress = ReportPrinter.progress(err(), targets.size());
+          Report report =
+              new RolloutRunner(fleet, RolloutRunner.Limits.usual(), progress, held)
+                  .run(id(kind), by(by), plan, Map.of(), List.of());
+          return tell(this, report.without(unreachable));
+        });
   }
 
   /** Prints a report; the exit code. */
--- a/src/main/java/beamspread/cli/Main.java
+++ b/src/main/java/beamspread/cli/Main.java
@@ -13,6 +13,7 @@
     synopsisSubcommandLabel = "COMMAND",
     subcommands = {
       FleetCommand.class,
+      LeaseCommand.class,
       AgentCommand.class,
       DemoCommand.class,
       LabCommand.class,
--- a/src/main/java/beamspread/cli/MeasureCommand.java
+++ b/src/main/java/beamspread/cli/MeasureCommand.java
@@ -18,7 +18,8 @@
       MeasureProfile.class,
       MeasureLab.class,
       MeasureStore.class,
-      MeasureTier.class
+      MeasureTier.class,
+      MeasureLease.class
     })
 final class MeasureCommand implements Runnable {
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
--- a/src/main/java/beamspread/cli/ResumeCommand.java
+++ b/src/main/java/beamspread/cli/ResumeCommand.java
@@ -5,6 +5,7 @@
 import beamspread.fleet.Resume;
 import beamspread.fleet.RolloutRunner;
 import beamspread.fleet.Unreachable;
+import beamspread.fleet.WorkLease;
 import beamspread.fleet.api.Api;
 import java.util.List;
 import java.util.Map;
@@ -26,9 +27,15 @@
   private String by;
 
   @Mixin private AwayOptions away;
+  @Mixin private LeaseOptions lease;
 
+  /** What is left is read only once nobody else can change it. */
   @Override
   int run(Fleet fleet) throws Exception {
+    return lease.under(this, fleet, ActionCommand.by(by), held -> resume(fleet, held));
+  }
+
+  private int resume(Fleet fleet, WorkLease held) throws Exception {
     var answers = fleet.operation(operation);
     List<Unreachable> unreachable = answers.unreachable();
     tell(answers.failures());
@@ -48,11 +55,9 @@
           new Report(
               null, resume.plan().kind(), ActionCommand.by(by), 0, 0, List.of(), unreachable));
     }
+    var progress = ReportPrinter.progress(err(), resume.plan().targets().size());
     Report report =
-        new RolloutRunner(
-                fleet,
-                RolloutRunner.Limits.usual(),
-                ReportPrinter.progress(err(), resume.plan().targets().size()))
+        new RolloutRunner(fleet, RolloutRunner.Limits.usual(), progress, held)
             .run(operation, ActionCommand.by(by), resume.plan(), resume.attempts(), resume.done());
     return ActionCommand.tell(this, report.without(unreachable));
   }
--- a/src/main/java/beamspread/fleet/AgentClient.java
+++ b/src/main/java/beamspread/fleet/AgentClient.java
@@ -2,6 +2,7 @@
 
 import beamspread.fleet.api.Api;
 import beamspread.fleet.api.Json;
+import beamspread.lease.FencingToken;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.ConnectException;
@@ -31,6 +32,9 @@
   private final Duration limit;
   private final String token;
 
+  /** What calls that act are done under; null for nothing. */
+  private volatile FencingToken fencing;
+
   /**
    * A client for one agent.
    *
@@ -73,6 +77,11 @@
     }
   }
 
+  /** Shows this with each further call that acts; null for nothing. */
+  public void fence(FencingToken with) {
+    fencing = with;
+  }
+
   /** The agent's name in the inventory. */
   public String name() {
     return agent.name();
@@ -166,15 +175,16 @@
   }
 
   private <T> T post(String path, Object body, Class<T> type) throws AgentCallException {
-    return value(
-        send(
-            request(path)
-                .timeout(limit)
-                .header("Content-Type", "application/json")
-                .POST(HttpRequest.BodyPublishers.ofString(Json.text(body)))
-                .build(),
-            HttpResponse.BodyHandlers.ofString()),
-        type);
+    HttpRequest.Builder call =
+        request(path)
+            .timeout(limit)
+            .header("Content-Type", "application/json")
+            .POST(HttpRequest.BodyPublishers.ofString(Json.text(body)));
+    FencingToken shown = fencing;
+    if (shown != null) {
+      call.header(Api.FENCING_HEADER, shown.text());
+    }
+    return value(send(call.build(), HttpResponse.BodyHandlers.ofString()), type);
   }
 
   private <T> HttpResponse<T> send(HttpRequest request, HttpResponse.BodyHandler<T> handler)
--- a/src/main/java/beamspread/fleet/Inventory.java
+++ b/src/main/java/beamspread/fleet/Inventory.java
@@ -16,8 +16,15 @@
  * @param agents in the order of the file
  * @param answerNanos how long an agent may take to answer a call
  * @param patienceNanos how long an agent may be away in the middle of an operation
+ * @param lease where the leases of work on the fleet are kept; null where there are none
  */
-public record Inventory(List<AgentEntry> agents, long answerNanos, long patienceNanos) {
+public record Inventory(
+    List<AgentEntry> agents, long answerNanos, long patienceNanos, LeaseSettings lease) {
+
+  /** Without leases. */
+  public Inventory(List<AgentEntry> agents, long answerNanos, long patienceNanos) {
+    this(agents, answerNanos, patienceNanos, null);
+  }
 
   /**
    * An agent.
@@ -32,7 +39,7 @@
     TomlFile toml = TomlFile.read(file);
     Path base = file.toAbsolutePath().getParent();
     TomlFile.Table root = toml.root();
-    root.only(Set.of("agent", "answer_s", "patience_s"));
+    root.only(Set.of("agent", "answer_s", "patience_s", "lease"));
     List<TomlFile.Table> tables = root.tables("agent");
     if (tables.isEmpty()) {
       root.fault("agent", "no [[agent]] is named");
@@ -53,7 +60,8 @@
         new Inventory(
             List.copyOf(agents),
             root.seconds("answer_s", 5_000_000_000L, 0.1, 600),
-            root.seconds("patience_s", 30_000_000_000L, 0, 3600));
+            root.seconds("patience_s", 30_000_000_000L, 0, 3600),
+            root.has("lease") ? LeaseSettings.read(root.table("lease"), base) : null);
     toml.finish();
     return inventory;
   }
@@ -73,7 +81,7 @@
     return URI.create("http://invalid/");
   }
 
-  private static Path readable(TomlFile.Table table, Path base, String key) {
+  static Path readable(TomlFile.Table table, Path base, String key) {
     String text = table.text(key, null);
     if (text == null) {
       return null;
--- a/src/main/java/beamspread/fleet/RolloutRunner.java
+++ b/src/main/java/beamspread/fleet/RolloutRunner.java
@@ -11,7 +11,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.UUID;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -26,7 +25,9 @@
  * says is told as unknown.
  */
 public final class RolloutRunner {
-  private static final long POLL_MILLIS = 2000;
+  /** Said of instances that were not begun, since the lease was lost. */
+  static final String LOST = "not begun: the lease that this runs under is lost";
+
   private static final long AGAIN_MILLIS = 100;
 
   /**
@@ -45,20 +46,23 @@
   private final Fleet fleet;
   private final Limits limits;
   private final Consumer<Result> progress;
+  private final WorkLease workLease;
   private final String session = UUID.randomUUID().toString();
 
   /** A runner over this fleet; {@code progress} hears of each result as it comes. */
   public RolloutRunner(Fleet fleet, Limits limits, Consumer<Result> progress) {
+    this(fleet, limits, progress, WorkLease.NONE);
+  }
+
+  /** The same under a lease: it shows its token with each call, and stops when it is lost. */
+  public RolloutRunner(Fleet fleet, Limits limits, Consumer<Result> progress, WorkLease workLease) {
     this.fleet = fleet;
     this.limits = limits;
     this.progress = progress;
+    this.workLease = workLease;
+    fleet.clients().values().forEach(client -> client.fence(workLease.token()));
   }
 
-  /** One instance's part of an agent's batch. */
-  private record Work(Target target, long token, int attempt) {}
-
-  private record Ended(Target target, Result result) {}
-
   /**
    * Runs a rollout to its end.
    *
@@ -155,7 +159,8 @@
               "agent " + entry.getKey() + " is not in the inventory", false, null);
         }
         Api.LeaseGiven given =
-            client.lease(
+            lease(
+                client,
                 new Api.LeaseAsk(
                     session,
                     operation,
@@ -167,7 +172,7 @@
         leased.add(entry.getKey());
         targets.forEach(target -> tokens.put(target, given.tokens().get(target.instance())));
       } catch (AgentCallException e) {
-        if (e.is("held")) {
+        if (e.is("held") || e.is(Api.STALE_TOKEN)) {
           refuseAll(plan, results, e);
           return false;
         }
@@ -186,6 +191,27 @@
     return true;
   }
 
+  /** Takes an agent's leases; waits for steps that an earlier owner has under way there. */
+  private Api.LeaseGiven lease(AgentClient client, Api.LeaseAsk ask) throws AgentCallException {
+    long giveUpAt = System.nanoTime() + limits.stepMs() * 1_000_000;
+    while (true) {
+      try {
+        return client.lease(ask);
+      } catch (AgentCallException e) {
+        boolean waits = e.is(Api.FINISHING) && workLease.held() && System.nanoTime() < giveUpAt;
+        if (!waits) {
+          throw e;
+        }
+      }
+      try {
+        TimeUnit.MILLISECONDS.sleep(AGAIN_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new AgentCallException("interrupted", false, null);
+      }
+    }
+  }
+
   private void refuseAll(RolloutPlan plan, Map<Target, Result> results, AgentCallException e) {
     Map<String, Api.Holder> holders = new HashMap<>();
     e.problem().holders().forEach(holder -> holders.put(holder.instance(), holder));
@@ -245,32 +271,29 @@
       Map<Target, Long> tokens,
       Rollout rollout,
       Map<Target, Result> results) {
-    LinkedBlockingQueue<Ended> ended = new LinkedBlockingQueue<>();
+    LinkedBlockingQueue<AgentBatch.Ended> ended = new LinkedBlockingQueue<>();
     while (true) {
       Rollout.Decision decision = rollout.next(System.nanoTime());
+      if (!(decision instanceof Rollout.Decision.Wait) && !workLease.held()) {
+        return skipRest(plan, results);
+      }
       if (decision instanceof Rollout.Decision.Done done) {
         done.skipped().forEach(one -> note(results, one, Outcome.SKIPPED, done.why(), 0));
         return !done.skipped().isEmpty();
       }
       try {
         if (decision instanceof Rollout.Decision.Begin begin) {
-          Map<String, List<Work>> work = new TreeMap<>();
+          Map<String, List<AgentBatch.Work>> work = new TreeMap<>();
           for (Target target : begin.targets()) {
             work.computeIfAbsent(target.agent(), a -> new ArrayList<>())
-                .add(new Work(target, tokens.get(target), attempts.getOrDefault(target, 1)));
+                .add(
+                    new AgentBatch.Work(
+                        target, tokens.get(target), attempts.getOrDefault(target, 1)));
           }
-          work.forEach(
-              (agent, part) ->
-                  fleet
-                      .calls()
-                      .execute(
-                          () ->
-                              new AgentBatch(
-                                      fleet.clients().get(agent), operation, plan, part, ended)
-                                  .run()));
+          work.forEach((agent, part) -> begin(agent, operation, plan, part, ended));
         } else if (decision instanceof Rollout.Decision.Wait wait) {
           if (wait.untilNanos() == Long.MAX_VALUE) {
-            Ended one = ended.take();
+            AgentBatch.Ended one = ended.take();
             results.put(one.target(), one.result());
             progress.accept(one.result());
             rollout.ended(System.nanoTime(), one.target(), one.result().outcome());
@@ -290,142 +313,29 @@
     }
   }
 
-  /** The part of a batch that one agent does: begun once, and followed until each has ended. */
-  private final class AgentBatch {
-    private final AgentClient agent;
-    private final String operation;
-    private final RolloutPlan plan;
-    private final Map<String, Work> open = new ConcurrentHashMap<>();
-    private final LinkedBlockingQueue<Ended> ended;
-    private final long giveUpAt = System.nanoTime() + limits.stepMs() * 1_000_000;
-    private long heardAt = System.nanoTime();
-
-    AgentBatch(
-        AgentClient agent,
-        String operation,
-        RolloutPlan plan,
-        List<Work> work,
-        LinkedBlockingQueue<Ended> ended) {
-      this.agent = agent;
-      this.operation = operation;
-      this.plan = plan;
-      this.ended = ended;
-      work.forEach(one -> open.put(one.target().instance(), one));
-    }
-
-    void run() {
-      try {
-        if (begin()) {
-          follow();
-        }
-      } catch (RuntimeException e) {
-        endAll(Outcome.UNKNOWN, "trouble here: " + e);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        endAll(Outcome.UNKNOWN, "interrupted here");
-      }
-    }
-
-    private boolean away() {
-      return System.nanoTime() - heardAt > fleet.inventory().patienceNanos();
-    }
-
-    private boolean begin() throws InterruptedException {
-      List<Api.StepAsk> steps =
-          open.values().stream()
-              .map(work -> new Api.StepAsk(work.target().instance(), work.token(), work.attempt()))
-              .toList();
-      boolean mayHaveArrived = false;
-      while (true) {
-        try {
-          agent.steps(new Api.StepsAsk(operation, plan.kind(), steps));
-          heardAt = System.nanoTime();
-          return true;
-        } catch (AgentCallException e) {
-          if (e.problem() != null && !mayHaveArrived) {
-            endAll(
-                e.is("record") ? Outcome.FAILED : Outcome.REFUSED,
-                "nothing was begun: " + e.getMessage());
-            return false;
-          }
-          if (e.problem() != null) {
-            // An earlier call may have begun them; the agent's record has the truth.
-            heardAt = System.nanoTime();
-            return true;
-          }
-          mayHaveArrived |= e.mayHaveArrived();
-          if (away()) {
-            endAll(
-                mayHaveArrived ? Outcome.UNKNOWN : Outcome.FAILED,
-                (mayHaveArrived ? "it may have been begun: " : "nothing was begun: ")
-                    + e.getMessage());
-            return false;
-          }
-          TimeUnit.MILLISECONDS.sleep(AGAIN_MILLIS);
-        }
-      }
-    }
-
-    private void follow() throws InterruptedException {
-      int seen = 0;
-      while (!open.isEmpty()) {
-        if (System.nanoTime() - giveUpAt > 0) {
-          endAll(Outcome.UNKNOWN, "still under way after " + limits.stepMs() / 1000 + " s");
-          return;
-        }
-        try {
-          Api.OperationView view = agent.operation(operation, POLL_MILLIS, seen);
-          heardAt = System.nanoTime();
-          seen = take(view);
-        } catch (AgentCallException e) {
-          if (e.is("unknown_operation")) {
-            endAll(
-                Outcome.UNKNOWN,
-                "the agent no longer has on record what it had taken on: its record is older");
-          } else if (away()) {
-            endAll(Outcome.UNKNOWN, "begun, and then no word of it: " + e.getMessage());
-          } else {
-            TimeUnit.MILLISECONDS.sleep(AGAIN_MILLIS);
-          }
-        }
-      }
-    }
-
-    /** Takes in what has ended; returns how many steps of the operation have. */
-    private int take(Api.OperationView view) {
-      int over = 0;
-      Map<String, Api.StepView> known = new HashMap<>();
-      for (Api.StepView step : view.steps()) {
-        over += step.outcome() == null ? 0 : 1;
-        known.put(step.instance() + " " + step.attempt(), step);
-      }
-      for (Work work : List.copyOf(open.values())) {
-        String instance = work.target().instance();
-        Api.StepView step = known.get(instance + " " + work.attempt());
-        if (step == null) {
-          end(
-              work,
-              Outcome.UNKNOWN,
-              "the agent has no such step on record: it was not begun, or its record is older",
-              0);
-        } else if (step.outcome() != null) {
-          end(work, step.outcome(), step.reason(), Math.max(0, step.endedMs() - step.beganMs()));
-        }
-      }
-      return over;
-    }
+  private void begin(
+      String agent,
+      String operation,
+      RolloutPlan plan,
+      List<AgentBatch.Work> part,
+      LinkedBlockingQueue<AgentBatch.Ended> ended) {
+    var patience =
+        new AgentBatch.Patience(limits.stepMs() * 1_000_000, fleet.inventory().patienceNanos());
+    AgentClient client = fleet.clients().get(agent);
+    fleet
+        .calls()
+        .execute(new AgentBatch(client, operation, plan.kind(), part, ended, workLease, patience));
+  }
 
-    private void end(Work work, Outcome outcome, String reason, long tookMs) {
-      if (open.remove(work.target().instance()) != null) {
-        ended.add(
-            new Ended(
-                work.target(),
-                Result.of(work.target(), outcome, reason, tookMs, System.currentTimeMillis())));
+  /** Notes that nothing more is begun; whether anything was left. */
+  private boolean skipRest(RolloutPlan plan, Map<Target, Result> results) {
+    boolean left = false;
+    for (Target target : plan.targets()) {
+      if (!results.containsKey(target)) {
+        note(results, target, Outcome.REFUSED, LOST, 0);
+        left = true;
       }
     }
-
-    private void endAll(Outcome outcome, String reason) {
-      List.copyOf(open.values()).forEach(work -> end(work, outcome, reason, 0));
-    }
+    return left;
   }
 }
--- /dev/null
+++ b/src/main/java/beamspread/fleet/WorkLease.java
@@ -0,0 +1,26 @@
+package beamspread.fleet;
+
+import beamspread.lease.FencingToken;
+
+/** What work on a fleet runs under. */
+public interface WorkLease {
+  /** For fleets without leases: whoever asks may work, held apart by the agents alone. */
+  WorkLease NONE =
+      new WorkLease() {
+        @Override
+        public FencingToken token() {
+          return null;
+        }
+
+        @Override
+        public boolean held() {
+          return true;
+        }
+      };
+
+  /** What is shown with each call; null for nothing. */
+  FencingToken token();
+
+  /** Whether anything may still be begun. */
+  boolean held();
+}
--- a/src/main/java/beamspread/fleet/api/Api.java
+++ b/src/main/java/beamspread/fleet/api/Api.java
@@ -6,6 +6,19 @@
 
 /** The bodies of the agent's API, version 1. Times are Unix milliseconds, tokens fencing tokens. */
 public final class Api {
+  /**
+   * The header of calls that act for the fleet: the name and the epoch of the lease that they are
+   * done under, with a space between. An agent refuses an epoch that is lower than one that it has
+   * seen of that name, with 409 and {@link #STALE_TOKEN}.
+   */
+  public static final String FENCING_HEADER = "Beamspread-Fencing-Token";
+
+  /** The error of a call under a lease that has passed to a later owner. */
+  public static final String STALE_TOKEN = "stale_fencing_token";
+
+  /** The error while a step that was begun under an earlier owner's lease is still under way. */
+  public static final String FINISHING = "finishing";
+
   private Api() {}
 
   /**
--- a/src/main/java/beamspread/record/JdbcRecord.java
+++ b/src/main/java/beamspread/record/JdbcRecord.java
@@ -2,24 +2,19 @@
 
 import java.nio.file.Path;
 import java.sql.Connection;
-import java.sql.PreparedStatement;
 import java.sql.ResultSet;
 import java.sql.SQLException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Properties;
 
 /** The record in a database, by statements that SQLite and PostgreSQL both understand. */
 public final class JdbcRecord implements FleetRecord {
-  /** A commit is tried so often: the second time heals a connection that broke under it. */
-  private static final int TRIES = 2;
-
-  private final Store store;
+  private final Database database;
   private final String agent;
 
-  private JdbcRecord(Store store, String agent) {
-    this.store = store;
+  private JdbcRecord(Database database, String agent) {
+    this.database = database;
     this.agent = agent;
   }
 
@@ -45,46 +40,23 @@
   }
 
   private static JdbcRecord open(Store store, String agent) throws RecordException {
-    JdbcRecord record = new JdbcRecord(store, agent);
-    try (Connection connection = store.connect()) {
-      Schema.migrate(connection, store.name(), System.currentTimeMillis());
-    } catch (SQLException | RuntimeException e) {
-      record.close();
-      throw record.failure("cannot be opened", e);
-    } catch (RecordException e) {
-      record.close();
-      throw e;
-    }
-    return record;
-  }
-
-  private RecordException failure(String what, Exception cause) {
-    return new RecordException(
-        "record: " + store.name() + " " + what + ": " + reason(cause), cause);
-  }
-
-  private static String reason(Throwable cause) {
-    Throwable last = cause;
-    for (int i = 0; i < 8 && last.getCause() != null; i++) {
-      last = last.getCause();
-    }
-    return last.getMessage() == null
-        ? last.toString()
-        : last.getMessage().lines().findFirst().orElse("");
+    return new JdbcRecord(Database.open(store), agent);
   }
 
   @Override
   public long starts() throws RecordException {
-    return read("SELECT starts FROM agent WHERE agent = ?", row -> row.getLong(1), agent).stream()
+    return database
+        .read("SELECT starts FROM agent WHERE agent = ?", row -> row.getLong(1), agent)
+        .stream()
         .findFirst()
         .orElse(0L);
   }
 
   @Override
   public void started(long number) throws RecordException {
-    write(
+    database.write(
         connection ->
-            update(
+            Database.update(
                 connection,
                 "INSERT INTO agent (agent, starts, last_token) VALUES (?, ?, 0)"
                     + " ON CONFLICT (agent) DO UPDATE SET starts ="
@@ -96,7 +68,7 @@
 
   @Override
   public void commit(List<RecordChange> changes) throws RecordException {
-    write(
+    database.write(
         connection -> {
           for (RecordChange change : changes) {
             apply(connection, change);
@@ -107,7 +79,7 @@
 
   private void apply(Connection to, RecordChange change) throws SQLException {
     if (change instanceof RecordChange.OperationBegun c) {
-      update(
+      Database.update(
           to,
           "INSERT INTO operation (agent, id, kind, by_whom, plan, began_ms, state, ended_ms)"
               + " VALUES (?, ?, ?, ?, ?, ?, 'begun', 0)"
@@ -119,7 +91,7 @@
           c.plan(),
           c.atMillis());
     } else if (change instanceof RecordChange.OperationEnded c) {
-      update(
+      Database.update(
           to,
           "UPDATE operation SET state = ?, ended_ms = ? WHERE agent = ? AND id = ?",
           c.state(),
@@ -127,7 +99,7 @@
           agent,
           c.id());
     } else if (change instanceof RecordChange.StepBegun c) {
-      update(
+      Database.update(
           to,
           "INSERT INTO step (agent, operation, instance, attempt, kind, token, began_ms, ended_ms)"
               + " VALUES (?, ?, ?, ?, ?, ?, ?, 0)"
@@ -140,7 +112,7 @@
           c.token(),
           c.atMillis());
     } else if (change instanceof RecordChange.StepIntends c) {
-      update(
+      Database.update(
           to,
           "UPDATE step SET intent = ?"
               + " WHERE agent = ? AND operation = ? AND instance = ? AND attempt = ?",
@@ -151,7 +123,7 @@
           c.attempt());
     } else if (change instanceof RecordChange.StepEnded c) {
       // The first end stays: what was told once is never told otherwise.
-      update(
+      Database.update(
           to,
           "UPDATE step SET outcome = ?, reason = ?, ended_ms = ?"
               + " WHERE agent = ? AND operation = ? AND instance = ? AND attempt = ?"
@@ -164,7 +136,7 @@
           c.instance(),
           c.attempt());
     } else if (change instanceof RecordChange.LeaseTaken c) {
-      update(
+      Database.update(
           to,
           "INSERT INTO agent (agent, starts, last_token) VALUES (?, 0, ?)"
               + " ON CONFLICT (agent) DO UPDATE SET last_token ="
@@ -172,7 +144,7 @@
               + " ELSE excluded.last_token END",
           agent,
           c.token());
-      update(
+      Database.update(
           to,
           "INSERT INTO lease (agent, instance, token, lease, operation, kind, by_whom, since_ms,"
               + " ttl_ms) VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?)"
@@ -190,14 +162,14 @@
           c.sinceMillis(),
           c.ttlMillis());
     } else if (change instanceof RecordChange.LeaseEnded c) {
-      update(
+      Database.update(
           to,
           "DELETE FROM lease WHERE agent = ? AND instance = ? AND token = ?",
           agent,
           c.instance(),
           c.token());
     } else if (change instanceof RecordChange.InstanceDesired c) {
-      update(
+      Database.update(
           to,
           "INSERT INTO instance (agent, name, run) VALUES (?, ?, ?)"
               + " ON CONFLICT (agent, name) DO UPDATE SET run = excluded.run",
@@ -209,7 +181,7 @@
 
   @Override
   public List<Rows.Operation> operations(int most) throws RecordException {
-    return read(
+    return database.read(
         "SELECT id, kind, by_whom, plan, began_ms, state, ended_ms FROM operation"
             + " WHERE agent = ? ORDER BY began_ms DESC, id LIMIT ?",
         JdbcRecord::operation,
@@ -219,7 +191,8 @@
 
   @Override
   public Optional<Rows.Operation> operation(String id) throws RecordException {
-    return read(
+    return database
+        .read(
             "SELECT id, kind, by_whom, plan, began_ms, state, ended_ms FROM operation"
                 + " WHERE agent = ? AND id = ?",
             JdbcRecord::operation,
@@ -246,13 +219,14 @@
 
   @Override
   public List<Rows.Step> steps(String operation) throws RecordException {
-    return read(
+    return database.read(
         STEP + "operation = ? ORDER BY instance, attempt", JdbcRecord::step, agent, operation);
   }
 
   @Override
   public List<Rows.Step> openSteps() throws RecordException {
-    return read(STEP + "outcome IS NULL ORDER BY began_ms, instance", JdbcRecord::step, agent);
+    return database.read(
+        STEP + "outcome IS NULL ORDER BY began_ms, instance", JdbcRecord::step, agent);
   }
 
   private static Rows.Step step(ResultSet row) throws SQLException {
@@ -271,7 +245,7 @@
 
   @Override
   public List<Rows.Lease> leases() throws RecordException {
-    return read(
+    return database.read(
         "SELECT instance, token, lease, operation, kind, by_whom, since_ms, ttl_ms FROM lease"
             + " WHERE agent = ? ORDER BY instance",
         row ->
@@ -289,7 +263,8 @@
 
   @Override
   public long lastToken() throws RecordException {
-    return read("SELECT last_token FROM agent WHERE agent = ?", row -> row.getLong(1), agent)
+    return database
+        .read("SELECT last_token FROM agent WHERE agent = ?", row -> row.getLong(1), agent)
         .stream()
         .findFirst()
         .orElse(0L);
@@ -297,7 +272,7 @@
 
   @Override
   public List<Rows.Instance> instances() throws RecordException {
-    return read(
+    return database.read(
         "SELECT name, run FROM instance WHERE agent = ? ORDER BY name",
         row -> new Rows.Instance(row.getString(1), row.getLong(2) != 0),
         agent);
@@ -305,18 +280,18 @@
 
   @Override
   public int prune(int keep) throws RecordException {
-    return write(
+    return database.write(
         connection -> {
           String old =
               " (SELECT id FROM operation WHERE agent = ? AND ended_ms > 0"
                   + " ORDER BY began_ms DESC, id LIMIT 100000 OFFSET ?)";
-          update(
+          Database.update(
               connection,
               "DELETE FROM step WHERE agent = ? AND operation IN" + old,
               agent,
               agent,
               (long) keep);
-          return update(
+          return Database.update(
               connection,
               "DELETE FROM operation WHERE agent = ? AND id IN" + old,
               agent,
@@ -325,78 +300,8 @@
         });
   }
 
-  private interface Work<T> {
-    T on(Connection connection) throws SQLException;
-  }
-
-  private interface RowReader<T> {
-    T read(ResultSet row) throws SQLException;
-  }
-
-  private <T> T write(Work<T> work) throws RecordException {
-    SQLException last = null;
-    for (int i = 0; i < TRIES; i++) {
-      try (Connection connection = store.connect()) {
-        connection.setAutoCommit(false);
-        T result = work.on(connection);
-        connection.commit();
-        connection.setAutoCommit(true);
-        return result;
-      } catch (SQLException e) {
-        last = e;
-      }
-    }
-    throw failure("could not be written", last);
-  }
-
-  private <T> List<T> read(String sql, RowReader<T> reader, Object... values)
-      throws RecordException {
-    SQLException last = null;
-    for (int i = 0; i < TRIES; i++) {
-      try (Connection connection = store.connect();
-          PreparedStatement statement = prepare(connection, sql, values);
-          ResultSet rows = statement.executeQuery()) {
-        List<T> found = new ArrayList<>();
-        while (rows.next()) {
-          found.add(reader.read(rows));
-        }
-        return found;
-      } catch (SQLException e) {
-        last = e;
-      }
-    }
-    throw failure("could not be read", last);
-  }
-
-  private static int update(Connection connection, String sql, Object... values)
-      throws SQLException {
-    try (PreparedStatement statement = prepare(connection, sql, values)) {
-      return statement.executeUpdate();
-    }
-  }
-
-  private static PreparedStatement prepare(Connection connection, String sql, Object... values)
-      throws SQLException {
-    PreparedStatement statement = connection.prepareStatement(sql);
-    try {
-      for (int i = 0; i < values.length; i++) {
-        if (values[i] instanceof String text) {
-          statement.setString(i + 1, text);
-        } else if (values[i] instanceof Number number) {
-          statement.setLong(i + 1, number.longValue());
-        } else {
-          statement.setNull(i + 1, java.sql.Types.VARCHAR);
-        }
-      }
-      return statement;
-    } catch (SQLException e) {
-      statement.close();
-      throw e;
-    }
-  }
-
   @Override
   public void close() {
-    store.close();
+    database.close();
   }
 }
--- a/src/main/java/beamspread/record/PostgresStore.java
+++ b/src/main/java/beamspread/record/PostgresStore.java
@@ -7,6 +7,9 @@
 
 /** A PostgreSQL database, through a small pool. Every wait has a limit. */
 final class PostgresStore implements Store {
+  /** Connections that are kept. */
+  static final int CONNECTIONS = 2;
+
   private final String url;
   private final HikariDataSource pool;
 
@@ -19,7 +22,7 @@
     config.setJdbcUrl(url);
     config.setUsername(user);
     config.setPassword(password);
-    config.setMaximumPoolSize(2);
+    config.setMaximumPoolSize(CONNECTIONS);
     config.setMinimumIdle(0);
     config.setInitializationFailTimeout(-1);
     config.setConnectionTimeout(Math.max(250, limitMillis));
@@ -39,6 +42,11 @@
     return pool.getConnection();
   }
 
+  @Override
+  public String clock() {
+    return "CAST(extract(epoch FROM clock_timestamp()) * 1000 AS BIGINT)";
+  }
+
   @Override
   public String name() {
     return url;
--- a/src/main/java/beamspread/record/Schema.java
+++ b/src/main/java/beamspread/record/Schema.java
@@ -31,7 +31,11 @@
           List.of(
               "CREATE TABLE instance (agent TEXT NOT NULL, name TEXT NOT NULL,"
                   + " run BIGINT NOT NULL, PRIMARY KEY (agent, name))",
-              "CREATE INDEX operation_by_time ON operation (agent, began_ms)"));
+              "CREATE INDEX operation_by_time ON operation (agent, began_ms)"),
+          List.of(
+              "CREATE TABLE fleet_lease (name TEXT PRIMARY KEY, holder TEXT NOT NULL,"
+                  + " described TEXT NOT NULL, epoch BIGINT NOT NULL, acquired_ms BIGINT NOT NULL,"
+                  + " expires_ms BIGINT NOT NULL)"));
 
   /** The version that this program writes. */
   static final int VERSION = MIGRATIONS.size();
--- a/src/main/java/beamspread/record/SqliteStore.java
+++ b/src/main/java/beamspread/record/SqliteStore.java
@@ -66,6 +66,11 @@
             SqliteStore.class.getClassLoader(), new Class<?>[] {Connection.class}, handler);
   }
 
+  @Override
+  public String clock() {
+    return "CAST((julianday('now') - 2440587.5) * 86400000 AS BIGINT)";
+  }
+
   @Override
   public String name() {
     return "SQLite file " + file;
--- a/src/main/java/beamspread/record/Store.java
+++ b/src/main/java/beamspread/record/Store.java
@@ -9,6 +9,9 @@
   /** A connection, to be closed after use. */
   Connection connect() throws SQLException;
 
+  /** An expression of the database's own clock, in whole Unix milliseconds. */
+  String clock();
+
   /** The database's name, for messages. */
   String name();
 
--- a/src/main/java/beamspread/standin/postgres/PgStatement.java
+++ b/src/main/java/beamspread/standin/postgres/PgStatement.java
@@ -13,10 +13,17 @@
   static final int INT4 = 23;
   static final int TEXT = 25;
 
+  /** The server's clock in milliseconds, in its own words and in SQLite's. */
+  private static final String CLOCK =
+      "CAST(extract(epoch FROM clock_timestamp()) * 1000 AS BIGINT)";
+
+  private static final String SQLITE_CLOCK =
+      "CAST((julianday('now') - 2440587.5) * 86400000 AS BIGINT)";
+
   private static final Pattern PARAMETER = Pattern.compile("\\$(\\d+)");
 
   static PgStatement of(String sql, int[] declared) {
-    String trimmed = sql.strip();
+    String trimmed = sql.strip().replace(CLOCK, SQLITE_CLOCK);
     int highest = 0;
     var matcher = PARAMETER.matcher(trimmed);
     while (matcher.find()) {
--- /dev/null
+++ b/src/test/java/beamspread/agent/OwnersTest.java
@@ -0,0 +1,231 @@
+package beamspread.agent;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import beamspread.chaos.Program;
+import beamspread.fleet.Fleet;
+import beamspread.fleet.LeaseKeeper;
+import beamspread.fleet.Report;
+import beamspread.fleet.Result;
+import beamspread.fleet.RolloutOptions;
+import beamspread.fleet.RolloutPlan;
+import beamspread.fleet.RolloutRunner;
+import beamspread.fleet.Selection;
+import beamspread.fleet.Target;
+import beamspread.fleet.api.Kind;
+import beamspread.fleet.api.Outcome;
+import beamspread.lease.FencingToken;
+import beamspread.lease.LeaseHeldException;
+import beamspread.lease.LeaseStore;
+import beamspread.record.JdbcLeases;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Owners of the same work: one at a time, also where one is suspended and wakes late. */
+class OwnersTest {
+  private static final int INSTANCES = 6;
+  private static final String NAME = "rollout/main";
+  private static final long SECOND = 1_000_000_000L;
+
+  @TempDir Path folder;
+  private final List<AgentRig> rigs = new ArrayList<>();
+  private final List<Process> processes = new ArrayList<>();
+  private LeaseStore store;
+
+  @BeforeEach
+  void start() throws Exception {
+    store = JdbcLeases.sqlite(folder.resolve("leases.db"));
+    for (int a = 0; a < 2; a++) {
+      AgentRig rig = new AgentRig(folder, "a" + a);
+      rigs.add(rig);
+      for (int i = 0; i < INSTANCES / 2; i++) {
+        rig.instance("a" + a + "n" + i);
+      }
+      rig.startAndWait();
+    }
+  }
+
+  @AfterEach
+  void end() throws Exception {
+    for (Process process : processes) {
+      process.destroyForcibly().waitFor();
+    }
+    rigs.forEach(AgentRig::close);
+    store.close();
+  }
+
+  private LeaseKeeper own(String by, LeaseKeeper.Otherwise otherwise) throws Exception {
+    return LeaseKeeper.acquire(store, NAME, by, 2 * SECOND, otherwise, held -> {});
+  }
+
+  private static Report reload(Fleet fleet, String by, LeaseKeeper lease, Consumer<Result> progress)
+      throws Exception {
+    List<Target> targets =
+        new Selection(List.of("*"), List.of(), List.of())
+            .of(Fleet.flat(fleet.instances(Selection.all())));
+    RolloutPlan plan = new RolloutPlan(Kind.RELOAD, new RolloutOptions(1, 1000, 0, 0, 0), targets);
+    return new RolloutRunner(fleet, new RolloutRunner.Limits(5000, 60_000), progress, lease)
+        .run("op-" + by, by, plan, Map.of(), List.of());
+  }
+
+  /** How often each instance has taken a file since its start, by its own word. */
+  private Map<String, Long> hups() {
+    Map<String, Long> hups = new HashMap<>();
+    for (AgentRig rig : rigs) {
+      for (int i = 0; i < INSTANCES / 2; i++) {
+        String name = rig.name + "n" + i;
+        hups.put(
+            name, rig.saw(name).stream().filter(line -> line.contains(" hup accepted ")).count());
+      }
+    }
+    return hups;
+  }
+
+  private static long all(Map<String, Long> hups) {
+    return hups.values().stream().mapToLong(Long::longValue).sum();
+  }
+
+  @Test
+  void anOwnerWhoseLeaseWasTakenStopsAtItsNextStep() throws Exception {
+    CountDownLatch first = new CountDownLatch(1);
+    CountDownLatch taken = new CountDownLatch(1);
+    Report[] early = new Report[1];
+    LeaseKeeper anna = own("anna", LeaseKeeper.Otherwise.REFUSE);
+    assertThat(anna.token()).isEqualTo(new FencingToken(NAME, 1));
+    assertThatThrownBy(() -> own("bela", LeaseKeeper.Otherwise.REFUSE))
+        .isInstanceOf(LeaseHeldException.class)
+        .hasMessageContainingAll("anna", "token 1");
+    Thread runs =
+        new Thread(
+            () -> {
+              try (Fleet fleet = AgentRig.fleet(rigs)) {
+                early[0] =
+                    reload(
+                        fleet,
+                        "anna",
+                        anna,
+                        result -> {
+                          first.countDown();
+                          awaitLatch(taken);
+                        });
+              } catch (Exception e) {
+                throw new AssertionError(e);
+              }
+            });
+    runs.start();
+    assertThat(first.await(30, TimeUnit.SECONDS)).isTrue();
+    Report late;
+    try (LeaseKeeper bela = own("bela", LeaseKeeper.Otherwise.TAKE_OVER);
+        Fleet fleet = AgentRig.fleet(rigs)) {
+      assertThat(bela.token().epoch()).isEqualTo(2);
+      late = reload(fleet, "bela", bela, result -> {});
+    }
+    Map<String, Long> after = hups();
+    taken.countDown();
+    runs.join(30_000);
+    anna.close();
+    assertThat(late.results()).allMatch(one -> one.outcome() == Outcome.SUCCEEDED);
+    assertThat(early[0].results()).hasSize(INSTANCES);
+    assertThat(early[0].count(Outcome.SUCCEEDED)).isEqualTo(1);
+    assertThat(early[0].count(Outcome.REFUSED)).isEqualTo(INSTANCES - 1);
+    assertThat(early[0].exitCode()).isEqualTo(1);
+    assertThat(hups()).as("nothing after the take-over").isEqualTo(after);
+    assertThat(all(after)).isEqualTo(INSTANCES + 1);
+  }
+
+  private static void awaitLatch(CountDownLatch latch) {
+    try {
+      latch.await(30, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  @Test
+  void anOwnerThatCannotReachTheStoreStopsBeforeItsLeaseCanHaveExpired() throws Exception {
+    LeaseKeeper anna = own("anna", LeaseKeeper.Otherwise.REFUSE);
+    store.close();
+    Files.delete(folder.resolve("leases.db"));
+    Files.createDirectory(folder.resolve("leases.db"));
+    long since = System.nanoTime();
+    AgentRig.await("it no longer holds", () -> !anna.held());
+    assertThat(System.nanoTime() - since).isLessThan(2 * SECOND);
+    try (Fleet fleet = AgentRig.fleet(rigs)) {
+      Report report = reload(fleet, "anna", anna, result -> {});
+      assertThat(report.results()).allMatch(one -> one.outcome() == Outcome.REFUSED);
+    }
+    assertThat(all(hups())).isZero();
+    anna.close();
+  }
+
+  private Path inventory() throws IOException {
+    StringBuilder toml = new StringBuilder();
+    for (AgentRig rig : rigs) {
+      toml.append("[[agent]]\nname = \"%s\"\nurl = \"%s\"\n".formatted(rig.name, rig.agent.url()));
+    }
+    toml.append("[lease]\nduration_s = 1\nfile = \"leases.db\"\n");
+    return Files.writeString(folder.resolve("fleet.toml"), toml);
+  }
+
+  private Process command(String... words) throws IOException {
+    Process process =
+        new ProcessBuilder(Program.operations(48, words))
+            .directory(folder.toFile())
+            .redirectErrorStream(true)
+            .redirectOutput(folder.resolve("out" + processes.size()).toFile())
+            .start();
+    processes.add(process);
+    return process;
+  }
+
+  private String said(int process) throws IOException {
+    return Files.readString(folder.resolve("out" + process));
+  }
+
+  private static void signal(Process process, String name) throws Exception {
+    new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+  }
+
+  /**
+   * Three processes: one is suspended in the middle, one waits and does the work, one only asks.
+   */
+  @Test
+  void aSuspendedProcessThatWakesAfterAnotherHasDoneTheWorkDoesNothingMore() throws Exception {
+    String toml = inventory().toString();
+    String[] reload = {"fleet", "-i", toml, "reload", "--all", "--batch", "1", "--pause", "0.4"};
+    Process suspended = command(reload);
+    AgentRig.await("it has begun", () -> all(hups()) > 0);
+    Process refused = command(reload);
+    assertThat(refused.waitFor(60, TimeUnit.SECONDS)).isTrue();
+    assertThat(refused.exitValue()).as(said(1)).isEqualTo(1);
+    assertThat(said(1)).contains("lease rollout/main is held by", "token 1", "--take-over");
+    signal(suspended, "STOP");
+    Map<String, Long> before = hups();
+    String[] waits = java.util.Arrays.copyOf(reload, reload.length + 1);
+    waits[reload.length] = "--wait";
+    Process next = command(waits);
+    assertThat(next.waitFor(90, TimeUnit.SECONDS)).isTrue();
+    assertThat(next.exitValue()).as(said(2)).isZero();
+    assertThat(said(2)).contains("token 2");
+    Map<String, Long> after = hups();
+    // A step that was begun before is finished, and is none of the later owner's.
+    assertThat(all(after)).isBetween(all(before) + INSTANCES, all(before) + INSTANCES + 1L);
+    signal(suspended, "CONT");
+    assertThat(suspended.waitFor(60, TimeUnit.SECONDS)).isTrue();
+    assertThat(suspended.exitValue()).as(said(0)).isNotZero();
+    assertThat(hups()).as("no effect of a stale owner").isEqualTo(after);
+  }
+}
--- a/src/test/java/beamspread/chaos/JudgesTest.java
+++ b/src/test/java/beamspread/chaos/JudgesTest.java
@@ -204,6 +204,36 @@
     assertThat(rollouts()).containsExactly("never ends");
   }
 
+  private void owns(String operation, long token) {
+    tell(
+        History.What.TOLD,
+        "caller-1",
+        "owns",
+        LeaseJudge.OPERATION,
+        operation,
+        LeaseJudge.TOKEN,
+        token);
+  }
+
+  private void step(String agent, String by) {
+    tell(History.What.SEEN, agent, "step", LeaseJudge.STEP_AGENT, agent, LeaseJudge.STEP_BY, by);
+  }
+
+  @Test
+  void aStepOfAStaleOwnerIsFoundAtTheAgentWhereItWasBegun() {
+    owns("a/1", 1);
+    owns("b/1", 2);
+    step("agent-1", "a/1");
+    step("agent-1", "b/1");
+    step("agent-2", "a/1");
+    step("agent-2", "unleased");
+    assertThat(LeaseJudge.judge(history.events())).isEmpty();
+    step("agent-1", "a/1");
+    assertThat(LeaseJudge.judge(history.events()))
+        .extracting(Breach::invariant)
+        .containsExactly("stale owner");
+  }
+
   private void lost(String... tried) {
     now += 2 * SECOND;
     tell(
