--- a/src/main/java/beamspread/cli/ActionCommand.java
+++ b/src/main/java/beamspread/cli/ActionCommand.java
@@ -102,6 +102,7 @@
     if (select.empty()) {
       throw usage("name instances, or say --all, --zone or --agent");
     }
+    lease.check(this, fleet);
     Selection selection = select.selection();
     var answers = fleet.instances(selection);
     List<Unreachable> unreachable = answers.unreachable();
--- a/src/main/java/beamspread/cli/LeaseOptions.java
+++ b/src/main/java/beamspread/cli/LeaseOptions.java
@@ -27,16 +27,21 @@
     int run(WorkLease lease) throws Exception;
   }
 
-  /** Does work under the fleet's lease; without one where the inventory names none. */
-  int under(FleetAction action, Fleet fleet, String by, Work work) throws Exception {
+  /** Refuses options that make no sense here, before anybody is asked anything. */
+  void check(FleetAction action, Fleet fleet) {
     if (wait && takeOver) {
       throw action.usage("either --wait or --take-over");
     }
+    if (fleet.inventory().lease() == null && (wait || takeOver)) {
+      throw action.usage("the inventory has no [lease]: there is nothing to wait for or take");
+    }
+  }
+
+  /** Does work under the fleet's lease; without one where the inventory names none. */
+  int under(FleetAction action, Fleet fleet, String by, Work work) throws Exception {
+    check(action, fleet);
     LeaseSettings settings = fleet.inventory().lease();
     if (settings == null) {
-      if (wait || takeOver) {
-        throw action.usage("the inventory has no [lease]: there is nothing to wait for or take");
-      }
       return work.run(WorkLease.NONE);
     }
     try (LeaseStore store = LeaseStores.open(settings);
--- a/src/main/java/beamspread/loop/WatchedIoHandler.java
+++ b/src/main/java/beamspread/loop/WatchedIoHandler.java
@@ -36,11 +36,12 @@
     long now = System.nanoTime();
     watch.waits(now, context.canBlock() ? timed.delayNanos(now) : 0);
     int handled = inner.run(timed);
-    if (handled == 0 && watch.isLate(System.nanoTime())) {
-      // A wait that the system has interrupted ends without a look at the sockets. What lies there
-      // is read now, while it is known how long that may be.
+    if (watch.isLate(System.nanoTime())) {
+      // A wait that the system has interrupted ends without a look at the sockets, and one that
+      // was stopped on its way back with an old one. What lies there is read now, while it is
+      // known how long that may be.
       timed.blocks = false;
-      handled = inner.run(timed);
+      handled += inner.run(timed);
     }
     watch.ran(System.nanoTime(), timed.busy);
     return handled;
--- a/src/main/java/beamspread/record/Database.java
+++ b/src/main/java/beamspread/record/Database.java
@@ -9,11 +9,8 @@
 
 /** Statements on a store whose tables are those of this program's {@link Schema}. */
 final class Database implements AutoCloseable {
-  /**
-   * So often something is tried: once more than a store keeps connections, all of which may have
-   * broken.
-   */
-  private static final int TRIES = PostgresStore.CONNECTIONS + 1;
+  /** A commit is tried so often: the second time heals a connection that broke under it. */
+  private static final int TRIES = 2;
 
   private final Store store;
 
--- a/src/main/java/beamspread/record/PostgresStore.java
+++ b/src/main/java/beamspread/record/PostgresStore.java
@@ -7,9 +7,6 @@
 
 /** A PostgreSQL database, through a small pool. Every wait has a limit. */
 final class PostgresStore implements Store {
-  /** Connections that are kept. */
-  static final int CONNECTIONS = 2;
-
   private final String url;
   private final HikariDataSource pool;
 
@@ -22,7 +19,7 @@
     config.setJdbcUrl(url);
     config.setUsername(user);
     config.setPassword(password);
-    config.setMaximumPoolSize(CONNECTIONS);
+    config.setMaximumPoolSize(2);
     config.setMinimumIdle(0);
     config.setInitializationFailTimeout(-1);
     config.setConnectionTimeout(Math.max(250, limitMillis));
