The scene of nodes that know one another: a member is stopped for longer than the stated bound

Cause: the member was stopped for 5 s, though a death must be known within 6 s only; and where the machine itself stands still, each node rightly doubts itself and says nothing of others for 1.6 s, and is nobody's judge for 4.8 s. Change: it is stopped for 12 s, and nine of the others at least must have taken it for gone (one, before).

--- a/src/test/java/beamspread/chaos/ScenesTest.java
+++ b/src/test/java/beamspread/chaos/ScenesTest.java
@@ -185,7 +185,9 @@
             link(Fault.Kind.BRIDGE, 0.5, 6, "n2", "n3"),
             link(Fault.Kind.LOSS, 0.5, 6, "n7", "n*"),
             process(Fault.Kind.PAUSE, 0.7, 0.9, "n8"),
-            process(Fault.Kind.PAUSE, 1.0, 5, "n4"),
+            // For twice the time in which a death must be known: where the machine itself stands
+            // still, all nodes rightly doubt themselves first, each time for some seconds.
+            process(Fault.Kind.PAUSE, 1.0, 12, "n4"),
             process(Fault.Kind.KILL, 1.0, 6.5, "n5"),
             process(Fault.Kind.UPGRADE, 1.5, 4, "n9"),
             link(Fault.Kind.CUT, 8, 6, "n10", "n*"),
@@ -195,7 +197,7 @@
     // What befell them was seen.
     // One that stood still itself may have missed it.
     assertThat(fell(outcome, "n5")).isGreaterThanOrEqualTo(10);
-    assertThat(fell(outcome, "n4")).isPositive();
+    assertThat(fell(outcome, "n4")).isGreaterThanOrEqualTo(9);
     for (String stays : List.of("n0", "n1", "n2", "n3", "n8", "n9")) {
       assertThat(fell(outcome, stays)).as(stays).isZero();
     }
