Command line: the options and the printing that fleet, lease and tier had each for itself

Reason: the same thirty lines stood in FleetCommand, LeaseCommand and TierCommand, and their subcommands printed each by itself; lease release and lease raise were alike. Change: InventoryCommand holds the options of commands that ask the agents of an inventory, InventoryAction is what their subcommands have in common, Output is a type of its own, LeaseChange is what release and raise share.

--- a/src/main/java/beamspread/cli/ChaosRunCommand.java
+++ b/src/main/java/beamspread/cli/ChaosRunCommand.java
@@ -93,7 +93,7 @@
       paramLabel = "FORM",
       defaultValue = "table",
       description = "table or json (default: table)")
-  private FleetCommand.Output output;
+  private Output output;
 
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
@@ -119,7 +119,7 @@
         Run.Outcome outcome = outcome(underWay.remove());
         totals.add(outcome);
         write(read, outcome);
-        if (output == FleetCommand.Output.json) {
+        if (output == Output.json) {
           trees.add(RunReport.tree(read.sceneName(), outcome));
         } else {
           RunReport.lines(read.sceneName(), outcome).forEach(this::say);
@@ -132,7 +132,7 @@
     } finally {
       players.shutdownNow();
     }
-    if (output == FleetCommand.Output.json) {
+    if (output == Output.json) {
       say(Json.text(Map.of("good", totals.good(), "runs", trees, "broken", totals.broken())));
     } else if (runs > 1) {
       say(totals.text());
@@ -179,7 +179,7 @@
     Schedule whole = broken.schedule();
     Shrink search = new Shrink(faults -> breaksAgain(read, whole, faults, invariant), shrink);
     List<Fault> fewest = search.of(whole.faults());
-    if (output != FleetCommand.Output.json) {
+    if (output != Output.json) {
       say("");
       say("fewest faults found that bring '" + invariant + "' about:");
       fewest.forEach(fault -> say("%9.3f s  %s".formatted(fault.atNanos() / 1e9, fault.says())));
--- a/src/main/java/beamspread/cli/FleetAction.java
+++ b/src/main/java/beamspread/cli/FleetAction.java
@@ -6,33 +6,23 @@
 import beamspread.fleet.Selection;
 import beamspread.fleet.Target;
 import beamspread.fleet.api.Api;
-import beamspread.fleet.api.Json;
-import java.io.PrintWriter;
 import java.time.Instant;
 import java.time.ZoneId;
 import java.time.format.DateTimeFormatter;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.Callable;
-import picocli.CommandLine;
 
 /** A subcommand that talks to the agents of the inventory. */
-abstract class FleetAction implements Callable<Integer> {
+abstract class FleetAction extends InventoryAction {
   private static final DateTimeFormatter TIME =
       DateTimeFormatter.ofPattern("yyyy-MM-dd HH:mm:ss").withZone(ZoneId.systemDefault());
 
-  @CommandLine.ParentCommand private FleetCommand parent;
-  @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
-
-  /** The exit code where nobody knows. */
-  static final int UNKNOWN = 3;
-
   /** Does it; returns the exit code. */
   abstract int run(Fleet fleet) throws Exception;
 
   @Override
   public final Integer call() throws Exception {
-    try (Fleet fleet = new Fleet(Inventory.read(parent.inventory))) {
+    try (Fleet fleet = new Fleet(Inventory.read(inventory()))) {
       return run(fleet);
     } catch (AwayException e) {
       if (json()) {
@@ -47,26 +37,6 @@
     }
   }
 
-  final PrintWriter out() {
-    return spec.commandLine().getOut();
-  }
-
-  final PrintWriter err() {
-    return spec.commandLine().getErr();
-  }
-
-  final boolean json() {
-    return parent.output == FleetCommand.Output.json;
-  }
-
-  final void print(Object value) {
-    out().println(Json.text(value));
-  }
-
-  final CommandLine.ParameterException usage(String message) {
-    return new CommandLine.ParameterException(spec.commandLine(), message);
-  }
-
   /**
    * The chosen instances. Where agents gave no answer, one that is not found is no mistake of the
    * caller's: nobody knows.
--- /dev/null
+++ b/src/main/java/beamspread/cli/Output.java
@@ -0,0 +1,7 @@
+package beamspread.cli;
+
+/** How results are written. */
+enum Output {
+  table,
+  json
+}
--- a/src/main/java/beamspread/cli/ScaleRunCommand.java
+++ b/src/main/java/beamspread/cli/ScaleRunCommand.java
@@ -43,7 +43,7 @@
       paramLabel = "FORM",
       defaultValue = "table",
       description = "table or json (default: table)")
-  private FleetCommand.Output output;
+  private Output output;
 
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
 
@@ -75,7 +75,7 @@
               });
       run.play();
       List<String> missed = run.missed();
-      if (output == FleetCommand.Output.json) {
+      if (output == Output.json) {
         out.println(Json.text(run.tree()));
       } else {
         table(plan, run).print(out);
--- a/src/main/java/beamspread/cli/TierViewCommand.java
+++ b/src/main/java/beamspread/cli/TierViewCommand.java
@@ -7,8 +7,6 @@
 import java.io.PrintWriter;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.concurrent.Callable;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
 /** All views of a tier side by side. */
@@ -25,17 +23,15 @@
       "Exit codes: 0 if all see the same and every link works, 1 if not, 2 for a wrong option or",
       "inventory, 3 if a node or an agent did not say."
     })
-final class TierViewCommand implements Callable<Integer> {
-  @CommandLine.ParentCommand private TierCommand parent;
-  @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
+final class TierViewCommand extends InventoryAction {
 
   @Override
   public Integer call() throws Exception {
-    try (Fleet fleet = new Fleet(Inventory.read(parent.inventory))) {
+    try (Fleet fleet = new Fleet(Inventory.read(inventory()))) {
       TierAsk ask = TierAsk.of(fleet);
       TierViews views = TierViews.of(ask.tiers());
-      PrintWriter out = spec.commandLine().getOut();
-      if (parent.output == FleetCommand.Output.json) {
+      PrintWriter out = out();
+      if (json()) {
         Map<String, Object> tree = new LinkedHashMap<>();
         tree.put("views", views);
         tree.put("silent", ask.silent());
@@ -45,7 +41,7 @@
         print(views, out);
       }
       out.flush();
-      PrintWriter err = spec.commandLine().getErr();
+      PrintWriter err = err();
       ask.unreachable().forEach(away -> err.println(away.reason()));
       ask.silent()
           .forEach(
@@ -53,7 +49,7 @@
                   err.println(node + " tells no tier: tier_file and status_socket must be named"));
       err.flush();
       if (!ask.silent().isEmpty() || !ask.unreachable().isEmpty()) {
-        return FleetAction.UNKNOWN;
+        return UNKNOWN;
       }
       return views.whole() ? 0 : 1;
     }
--- a/src/main/java/beamspread/cli/TierWatchCommand.java
+++ b/src/main/java/beamspread/cli/TierWatchCommand.java
@@ -10,9 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -22,11 +20,9 @@
     description = "Prints what changes in the nodes' views of the tier, as it changes.",
     mixinStandardHelpOptions = true,
     footer = {"", "Example: ./beamspread tier watch --for 60"})
-final class TierWatchCommand implements Callable<Integer> {
+final class TierWatchCommand extends InventoryAction {
   private static final DateTimeFormatter TIME = DateTimeFormatter.ofPattern("HH:mm:ss.SSS");
 
-  @CommandLine.ParentCommand private TierCommand parent;
-
   @Option(
       names = "--for",
       paramLabel = "SECONDS",
@@ -41,16 +37,14 @@
       description = "how often the nodes are asked, 0.2 to 60 (default: ${DEFAULT-VALUE})")
   private double every;
 
-  @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
-
   @Override
   public Integer call() throws Exception {
-    Bounds.check(spec.commandLine(), "--every", every, 0.2, 60);
+    Bounds.check(commandLine(), "--every", every, 0.2, 60);
     long until =
         seconds == 0 ? Long.MAX_VALUE : System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
     Map<String, String> before = new TreeMap<>();
     boolean first = true;
-    try (Fleet fleet = new Fleet(Inventory.read(parent.inventory))) {
+    try (Fleet fleet = new Fleet(Inventory.read(inventory()))) {
       while (first || System.nanoTime() < until) {
         Map<String, String> now = said(TierAsk.of(fleet));
         for (var one : now.entrySet()) {
@@ -91,8 +85,8 @@
   }
 
   private void tell(String what, String was, String is) {
-    PrintWriter out = spec.commandLine().getOut();
-    if (parent.output == FleetCommand.Output.json) {
+    PrintWriter out = out();
+    if (json()) {
       Map<String, Object> line = new LinkedHashMap<>();
       line.put("at_ms", System.currentTimeMillis());
       line.put("what", what);
