Variant keys: one stored copy for device classes whose responses are the same

Change: beamspread.variants (rules, the table and until when it holds, comparisons; pure), its I/O in node.variants (calls for the table, requests under canonical keys), agent.VariantCalls (tables under the token of the lease variants/FLEET, kept in memory), fleet.VariantPublisher and `variants run|status|explain|check`, `measure variants`, a scene of the chaos rig. Off unless a node's configuration names variants_file; off in `run`. Cut, as the issue allows: learning (sets stand in the file, still leased, owned and compared), `variants split`, 8 classes, the plot. docs/design/0015, docs/operate/variants.md.

--- a/src/main/java/beamspread/agent/AgentCore.java
+++ b/src/main/java/beamspread/agent/AgentCore.java
@@ -56,6 +56,7 @@
   private final long starts;
   private final InstanceLeases leases;
   private final Fencing fencing;
+  private final VariantCalls variantCalls;
   private final OperationViews views;
   private final OperationCalls operationCalls;
   private final EventLog events;
@@ -90,6 +91,7 @@
     this.leases = new InstanceLeases(starts << 32);
     this.fencing = new Fencing(new FencingFile(config.folder().resolve("fencing-tokens.json")));
     this.views = new OperationViews(keeper, config.name(), this::heldBack);
+    this.variantCalls = new VariantCalls(this);
     this.operationCalls = new OperationCalls(this, instances, leases, fencing, keeper, views);
     this.events = new EventLog(config.name());
     this.thread = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "agent"));
@@ -335,7 +337,7 @@
     CompletableFuture<T> run() throws Refusal;
   }
 
-  private <T> CompletableFuture<T> call(Call<T> call) {
+  <T> CompletableFuture<T> call(Call<T> call) {
     CompletableFuture<T> answer = new CompletableFuture<>();
     try {
       thread.execute(
@@ -385,6 +387,16 @@
         });
   }
 
+  /** The calls about tables of variants. */
+  VariantCalls variantCalls() {
+    return variantCalls;
+  }
+
+  /** Which start of this agent it is. */
+  long starts() {
+    return starts;
+  }
+
   /** The calls that act. */
   OperationCalls operationCalls() {
     return operationCalls;
--- a/src/main/java/beamspread/agent/AgentServer.java
+++ b/src/main/java/beamspread/agent/AgentServer.java
@@ -312,6 +312,8 @@
         switch (what) {
           case "agent":
             return core.agent();
+          case "variants/*":
+            return core.variantCalls().view(id);
           case "instances":
             return core.instances();
           case "instances/*":
@@ -336,6 +338,12 @@
         }
         FencingToken token = fencingToken();
         String text = body.toString(StandardCharsets.UTF_8);
+        if (what.equals("variants/*")) {
+          return core.variantCalls().offer(id, Json.read(text, Api.VariantOffer.class), token);
+        }
+        if (what.equals("variants/*/pull")) {
+          return core.variantCalls().pull(id, Json.read(text, Api.VariantPull.class));
+        }
         switch (path.length == 4 ? path[2] + "/" + path[3] : what) {
           case "leases":
             return core.operationCalls().lease(Json.read(text, Api.LeaseAsk.class), token);
--- /dev/null
+++ b/src/main/java/beamspread/agent/VariantCalls.java
@@ -0,0 +1,189 @@
+package beamspread.agent;
+
+import beamspread.fleet.api.Api;
+import beamspread.lease.FencingToken;
+import beamspread.variants.HeldTable;
+import beamspread.variants.VariantDesk;
+import beamspread.variants.VariantException;
+import beamspread.variants.VariantTable;
+import beamspread.variants.VariantVersion;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The calls about tables of variants: owners offer them under the token of their lease, nodes ask
+ * for them. Each runs on the agent's thread. Tables are kept in memory alone: after a start there
+ * is none until an owner comes.
+ */
+final class VariantCalls {
+  /** Fleets whose tables an agent holds. */
+  private static final int MOST_FLEETS = 16;
+
+  /** Nodes that say nothing for so long are forgotten, with what they left alone. */
+  private static final long SAID_NANOS = 60_000_000_000L;
+
+  private static final String FLEET = "[A-Za-z0-9._-]{1,64}";
+  private static final int LONGEST_NAME = 100;
+  private static final int MOST_FAMILIES = 1024;
+
+  private final AgentCore core;
+  private final Map<String, VariantDesk> desks = new TreeMap<>();
+
+  VariantCalls(AgentCore core) {
+    this.core = core;
+  }
+
+  private static void check(boolean holds, int status, String error, String message)
+      throws Refusal {
+    if (!holds) {
+      throw new Refusal(status, error, message);
+    }
+  }
+
+  private VariantDesk desk(String fleet) throws Refusal {
+    check(fleet.matches(FLEET), 400, "bad_request", "'" + fleet + "' is no name of a fleet");
+    check(
+        desks.size() < MOST_FLEETS || desks.containsKey(fleet),
+        503,
+        "full",
+        "tables of " + MOST_FLEETS + " fleets are held here");
+    return desks.computeIfAbsent(fleet, VariantDesk::new);
+  }
+
+  /** The table here, and what the nodes say. */
+  CompletableFuture<Api.VariantView> view(String fleet) {
+    return core.call(() -> CompletableFuture.completedFuture(seen(fleet)));
+  }
+
+  private Api.VariantView seen(String fleet) throws Refusal {
+    VariantDesk desk = desk(fleet);
+    long now = core.now();
+    VariantTable table = desk.held().inForce(now);
+    Set<String> split = desk.split(now, SAID_NANOS);
+    List<Api.VariantNode> nodes = new ArrayList<>();
+    new TreeMap<>(desk.words())
+        .forEach(
+            (node, word) ->
+                nodes.add(
+                    new Api.VariantNode(
+                        node,
+                        word.version().toString(),
+                        (now - word.at()) / 1_000_000,
+                        List.copyOf(word.split()))));
+    return new Api.VariantView(
+        core.name(),
+        fleet,
+        clock(now),
+        desk.held().highest().toString(),
+        desk.held().leftNanos(now) / 1_000_000,
+        table == null ? null : table.digest(),
+        table == null ? null : table.text(),
+        List.copyOf(split),
+        nodes);
+  }
+
+  /** A reading of the clock, which means nothing to another start of this agent. */
+  private String clock(long now) {
+    return core.starts() + ":" + now;
+  }
+
+  /** An owner offers a table. */
+  CompletableFuture<Api.VariantView> offer(
+      String fleet, Api.VariantOffer offer, FencingToken token) {
+    return core.fenced(
+        token,
+        () -> {
+          check(
+              token != null && token.name().equals("variants/" + fleet),
+              400,
+              "bad_request",
+              "a table is offered under the lease variants/" + fleet);
+          VariantDesk desk = desk(fleet);
+          HeldTable.Taken taken =
+              desk.offer(core.now(), table(offer, token), readAt(offer), holdNanos(offer));
+          check(
+              taken == HeldTable.Taken.NEW || taken == HeldTable.Taken.RENEWED,
+              409,
+              "table_" + taken.name().toLowerCase(Locale.ROOT),
+              "the table is not taken here ("
+                  + taken
+                  + "): "
+                  + desk.held().highest()
+                  + " was seen");
+          return CompletableFuture.completedFuture(seen(fleet));
+        });
+  }
+
+  private static VariantTable table(Api.VariantOffer offer, FencingToken token) throws Refusal {
+    try {
+      check(
+          offer.text() != null && offer.digest() != null,
+          400,
+          "bad_table",
+          "text or digest is missing");
+      VariantTable table = VariantTable.parse(offer.text(), offer.digest());
+      check(
+          table.version().token() == token.epoch(),
+          400,
+          "bad_table",
+          "the table has token " + table.version().token() + ", the call " + token.epoch());
+      return table;
+    } catch (VariantException e) {
+      throw new Refusal(400, "bad_table", e.getMessage());
+    }
+  }
+
+  private static long holdNanos(Api.VariantOffer offer) throws Refusal {
+    check(offer.holdMs() >= 1 && offer.holdMs() <= 600_000, 400, "bad_request", "hold_ms");
+    return offer.holdMs() * 1_000_000;
+  }
+
+  private long readAt(Api.VariantOffer offer) throws Refusal {
+    String[] clock = offer.clock() == null ? new String[0] : offer.clock().split(":");
+    check(
+        clock.length == 2 && clock[0].equals(Long.toString(core.starts())),
+        409,
+        "other_start",
+        "the clock was read of another start of this agent: ask again");
+    try {
+      long at = Long.parseLong(clock[1]);
+      check(at - core.now() <= 0, 400, "bad_request", "the clock was read in the future");
+      return at;
+    } catch (NumberFormatException e) {
+      throw new Refusal(400, "bad_request", "'" + offer.clock() + "' is no reading of a clock");
+    }
+  }
+
+  /** A node asks for the table. */
+  CompletableFuture<Api.VariantTold> pull(String fleet, Api.VariantPull pull) {
+    return core.call(
+        () -> {
+          check(
+              pull.node() != null && !pull.node().isEmpty() && pull.node().length() <= LONGEST_NAME,
+              400,
+              "bad_request",
+              "node must have 1 to " + LONGEST_NAME + " letters");
+          List<String> split = pull.split() == null ? List.of() : pull.split();
+          check(split.size() <= MOST_FAMILIES, 400, "bad_request", "split names too many");
+          VariantDesk desk = desk(fleet);
+          long now = core.now();
+          VariantVersion known = new VariantVersion(pull.token(), pull.number());
+          desk.heard(now, pull.node(), known, Set.copyOf(split));
+          VariantVersion here = desk.held().highest();
+          VariantTable table = desk.held().inForce(now);
+          boolean has = table == null || here.equals(known);
+          return CompletableFuture.completedFuture(
+              new Api.VariantTold(
+                  here.token(),
+                  here.number(),
+                  desk.held().leftNanos(now) / 1_000_000,
+                  has ? null : table.digest(),
+                  has ? null : table.text()));
+        });
+  }
+}
--- a/src/main/java/beamspread/chaos/ScheduleFile.java
+++ b/src/main/java/beamspread/chaos/ScheduleFile.java
@@ -31,7 +31,18 @@
 
   private static final Set<String> ROOT =
       Set.of(
-          "scene", "seed", "seconds", "settle_s", "store", "rollout", "nodes", "fault", "random");
+          "scene",
+          "seed",
+          "seconds",
+          "settle_s",
+          "store",
+          "rollout",
+          "nodes",
+          "variants",
+          "fault",
+          "random");
+
+  private static final List<String> SCENES = List.of("store", "rollout", "nodes", "variants");
 
   private static final Set<String> FAULT =
       Set.of(
@@ -76,7 +87,7 @@
   }
 
   private static Supplier<Scene> scene(String name, TomlFile.Table root) {
-    for (String other : List.of("store", "rollout", "nodes")) {
+    for (String other : SCENES) {
       if (!other.equals(name) && root.has(other)) {
         root.fault(other, "belongs to another scene than '" + name + "'");
       }
@@ -105,8 +116,15 @@
         boolean tier = table.flag("tier", false);
         return () -> new NodesScene(nodes, servers, rate, tier);
       }
+      case "variants" -> {
+        table.only(Set.of("agents", "nodes", "owners"));
+        int agents = table.number("agents", 3, 1, MOST_PROCESSES);
+        int nodes = table.number("nodes", 9, 1, MOST_PROCESSES);
+        int owners = table.number("owners", 2, 1, 16);
+        return () -> new VariantsScene(agents, nodes, owners);
+      }
       default -> {
-        root.fault("scene", "store, rollout or nodes is needed");
+        root.fault("scene", "store, rollout, nodes or variants is needed");
         return null;
       }
     }
--- /dev/null
+++ b/src/main/java/beamspread/chaos/VariantClient.java
@@ -0,0 +1,148 @@
+package beamspread.chaos;
+
+import beamspread.standin.VariantValues;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A client of one node: reads variants of a few objects, and holds each answer against the truth.
+ */
+final class VariantClient implements Runnable {
+  static final String[] CLASSES = {"phone", "tablet", "desktop", "watch"};
+  static final int OBJECTS = 4;
+  static final String FAMILY = "page/";
+
+  /** The fact of an answer that was another variant's: for how long it had not been this one's. */
+  static final String STALE = "stale_nanos";
+
+  private static final int WAIT_MILLIS = 700;
+  private static final int PACE_MILLIS = 4;
+  private static final int MOST_LINE = 256;
+
+  private final String name;
+  private final InetSocketAddress node;
+  private final VariantValues values;
+  private final Stage stage;
+  private final SplittableRandom random;
+  private volatile boolean stop;
+  private volatile long answered;
+  private volatile String write;
+  private Socket socket;
+  private InputStream in;
+  private long number;
+
+  VariantClient(String name, InetSocketAddress node, VariantValues values, Stage stage) {
+    this.name = name;
+    this.node = node;
+    this.values = values;
+    this.stage = stage;
+    this.random = new SplittableRandom(stage.seed() * 31 + name.hashCode());
+  }
+
+  /** Asks nothing more. */
+  void stop() {
+    stop = true;
+  }
+
+  /** Writes this key with its next request. */
+  void write(String key) {
+    write = key;
+  }
+
+  /** How many reads had a value. */
+  long answered() {
+    return answered;
+  }
+
+  static String key(int deviceClass, int object) {
+    return FAMILY + CLASSES[deviceClass] + "/" + object;
+  }
+
+  @Override
+  public void run() {
+    try {
+      while (!stop) {
+        ask();
+        TimeUnit.MILLISECONDS.sleep(PACE_MILLIS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      close();
+    }
+  }
+
+  private void ask() {
+    String written = write;
+    String id = name + "-" + ++number;
+    try {
+      connect();
+      if (written != null) {
+        write = null;
+        send("ms %s 5 O%s Pc=put,d=%d,k=%s\r\nvalue\r\n".formatted(written, id, WAIT_MILLIS, id));
+        line();
+        return;
+      }
+      String key = key(random.nextInt(CLASSES.length), random.nextInt(OBJECTS));
+      long from = System.nanoTime();
+      send("mg %s v O%s Pc=read,d=%d\r\n".formatted(key, id, WAIT_MILLIS));
+      if (line().startsWith("VA ")) {
+        answered++;
+        hold(key, line(), from);
+      }
+    } catch (IOException e) {
+      close();
+    }
+  }
+
+  private void hold(String key, String value, long from) {
+    long stale = values.staleNanos(key, value, from);
+    if (stale > 0) {
+      stage.tell(
+          History.What.TOLD, name, key + " was answered with " + value, STALE, stale, "node", name);
+    }
+  }
+
+  private void connect() throws IOException {
+    if (socket == null) {
+      Socket fresh = new Socket();
+      socket = fresh;
+      fresh.connect(node, WAIT_MILLIS);
+      fresh.setSoTimeout(2 * WAIT_MILLIS);
+      fresh.setTcpNoDelay(true);
+      in = new BufferedInputStream(fresh.getInputStream());
+    }
+  }
+
+  private void send(String command) throws IOException {
+    socket.getOutputStream().write(command.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private String line() throws IOException {
+    StringBuilder line = new StringBuilder();
+    for (int next = in.read(); next != '\n'; next = in.read()) {
+      if (next < 0 || line.length() > MOST_LINE) {
+        throw new IOException("no whole line");
+      }
+      line.append((char) next);
+    }
+    return line.toString().strip();
+  }
+
+  private void close() {
+    try {
+      if (socket != null) {
+        socket.close();
+      }
+    } catch (IOException e) {
+      // It is gone in any case.
+    }
+    socket = null;
+  }
+}
--- a/src/main/java/beamspread/cli/Main.java
+++ b/src/main/java/beamspread/cli/Main.java
@@ -14,6 +14,7 @@
     subcommands = {
       FleetCommand.class,
       LeaseCommand.class,
+      VariantsCommand.class,
       AgentCommand.class,
       DemoCommand.class,
       LabCommand.class,
--- a/src/main/java/beamspread/cli/MeasureCommand.java
+++ b/src/main/java/beamspread/cli/MeasureCommand.java
@@ -19,7 +19,8 @@
       MeasureLab.class,
       MeasureStore.class,
       MeasureTier.class,
-      MeasureLease.class
+      MeasureLease.class,
+      MeasureVariants.class
     })
 final class MeasureCommand implements Runnable {
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
--- a/src/main/java/beamspread/fleet/AgentClient.java
+++ b/src/main/java/beamspread/fleet/AgentClient.java
@@ -145,6 +145,16 @@
     return post("steps", ask, Api.OperationView.class);
   }
 
+  /** The table of variants of a fleet, and what the agent's nodes say. */
+  public Api.VariantView variants(String fleet) throws AgentCallException {
+    return get("variants/" + word(fleet), Api.VariantView.class, Duration.ZERO);
+  }
+
+  /** Offers a table of variants, under the token that is shown. */
+  public Api.VariantView offer(String fleet, Api.VariantOffer offer) throws AgentCallException {
+    return post("variants/" + word(fleet), offer, Api.VariantView.class);
+  }
+
   /** The events after this number as they happen, one JSON object a line. */
   public InputStream events(long since) throws AgentCallException {
     HttpResponse<InputStream> response =
--- a/src/main/java/beamspread/fleet/LeaseSettings.java
+++ b/src/main/java/beamspread/fleet/LeaseSettings.java
@@ -47,6 +47,11 @@
     return "rollout/" + fleet;
   }
 
+  /** The lease that the owner of the table of variants works under. */
+  public static String variants(String fleet) {
+    return "variants/" + fleet;
+  }
+
   /** The lease that rollouts, resumes and drains of this fleet run under. */
   public String rollout() {
     return rolloutOf(fleet);
--- a/src/main/java/beamspread/fleet/api/Api.java
+++ b/src/main/java/beamspread/fleet/api/Api.java
@@ -45,6 +45,50 @@
    */
   public record LeaseSeen(String name, long epoch, long refused) {}
 
+  /**
+   * The table of variants at an agent.
+   *
+   * @param clock a reading of the agent's clock, to be shown with an offer
+   * @param version of the highest table that it has seen, in force or not
+   * @param holdsMs for how long that is in force; 0 for not at all
+   * @param digest of the table; null where none is in force
+   * @param text of the table; null where none is in force
+   * @param split families that nodes leave alone
+   * @param nodes what the nodes said last
+   */
+  public record VariantView(
+      String agent,
+      String fleet,
+      String clock,
+      String version,
+      long holdsMs,
+      String digest,
+      String text,
+      List<String> split,
+      List<VariantNode> nodes) {}
+
+  /** A node as its agent knows it: the version that it holds, and how long ago it said so. */
+  public record VariantNode(String node, String version, long saidMs, List<String> split) {}
+
+  /**
+   * A table from its owner.
+   *
+   * @param clock the agent's clock as it was read before
+   * @param holdMs for how long from that reading the table holds
+   */
+  public record VariantOffer(String clock, long holdMs, String digest, String text) {}
+
+  /** A node asks for the table: the version that it has seen, and the families it leaves alone. */
+  public record VariantPull(String node, long token, long number, List<String> split) {}
+
+  /**
+   * What a node is told.
+   *
+   * @param validMs for how long the table holds from now on
+   * @param text of the table; null where the node has it
+   */
+  public record VariantTold(long token, long number, long validMs, String digest, String text) {}
+
   /**
    * An instance.
    *
--- a/src/main/java/beamspread/model/Request.java
+++ b/src/main/java/beamspread/model/Request.java
@@ -24,6 +24,11 @@
     boolean repeat,
     boolean write) {
 
+  /** The same about another key. */
+  public Request about(String other) {
+    return new Request(id, other, serviceClass, tenant, budget, work, size, repeat, write);
+  }
+
   /** The same with so many seconds until it is given up. */
   public Request within(double seconds) {
     return new Request(id, key, serviceClass, tenant, seconds, work, size, repeat, write);
--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -14,6 +14,7 @@
 import beamspread.node.server.ServerPools;
 import beamspread.node.server.ValueSink;
 import beamspread.node.server.ValueSource;
+import beamspread.node.variants.VariantTraffic;
 import beamspread.node.wire.MetaReply;
 import beamspread.policy.Actions;
 import beamspread.policy.Balancer;
@@ -62,6 +63,7 @@
   private final Map<String, Settings.ServiceClass> types = new HashMap<>();
   private final long longestDeadlineNanos;
   private NodeConfig config;
+  private VariantTraffic variants;
   private int heldByOthers;
   private boolean rescuing;
   private long rescueUntil;
@@ -328,6 +330,9 @@
       open.over(request);
       metrics.served(request);
       metrics.replied(request.command.request.serviceClass(), Figures.Reply.SUCCESS);
+      if (request.rewrite != null && reply.value() != null) {
+        variants.answered(request.rewrite, reply.value());
+      }
       request.slot.answer(reply.clientAnswer(request.slot.alloc()));
     }
     ended(attempt, reply.result(), reply.note(), reply.load());
@@ -351,7 +356,13 @@
     }
     // For the module the server has answered: when its first bytes came is what tells of it.
     ended(attempt, head.result(), head.note(), head.load());
-    return sink;
+    return request.rewrite == null ? sink : variants.passing(request.rewrite, sink);
+  }
+
+  /** Keys are replaced by canonical ones from now on. */
+  void use(VariantTraffic traffic) {
+    variants = traffic;
+    intake.use(traffic);
   }
 
   // What discovery says.
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -9,11 +9,15 @@
 import beamspread.node.mgmt.MgmtServer;
 import beamspread.node.relay.ValueRelays;
 import beamspread.node.tier.TierSocket;
+import beamspread.node.variants.TablePull;
+import beamspread.node.variants.VariantPart;
+import beamspread.node.variants.VariantTraffic;
 import beamspread.node.wire.MemoryBudget;
 import beamspread.node.wire.MetaCommand;
 import beamspread.relay.RelaySettings;
 import beamspread.relay.Relays;
 import beamspread.sim.WireException;
+import beamspread.variants.VariantKeys;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -82,6 +86,7 @@
   private OperatorCalls operators;
   private MgmtServer mgmt;
   private TierSocket tier;
+  private VariantKeys variants;
   private NodeStatus.Configuration configuration;
   private boolean draining;
 
@@ -174,7 +179,8 @@
         draining,
         watch.longestNanos() / 1_000_000,
         watch.pauses(),
-        tier);
+        tier,
+        variants);
   }
 
   /**
@@ -298,10 +304,27 @@
     if (config.tier() != null) {
       tier = TierSocket.open(loop, config.tier(), config.seed(), log::line);
     }
+    if (config.variants() != null) {
+      loop.execute(this::shareVariants);
+    }
     loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     return listener.localAddress();
   }
 
+  /** Its canonical keys; null for none. */
+  VariantKeys variants() {
+    return variants;
+  }
+
+  /** Begins to ask for the table of variants, and to replace keys by it. */
+  private void shareVariants() {
+    VariantPart part = config.variants();
+    variants = new VariantKeys(part.file().settings(), part.file().rules());
+    dispatcher.use(new VariantTraffic(variants));
+    Bootstrap calling = transport.client().group(loop);
+    new TablePull(loop, calling, part, config.name(), variants, log::line).start();
+  }
+
   private void listening(Channel channel, boolean up) {
     if (up && draining) {
       channel.close();
--- a/src/main/java/beamspread/node/NodeConfig.java
+++ b/src/main/java/beamspread/node/NodeConfig.java
@@ -2,12 +2,16 @@
 
 import beamspread.model.Settings;
 import beamspread.node.tier.TierPart;
+import beamspread.node.variants.VariantFileReader;
+import beamspread.node.variants.VariantPart;
 import beamspread.pool.PoolSettings;
 import beamspread.sim.Dialect;
 import beamspread.sim.Message;
 import beamspread.sim.WireException;
 import beamspread.tier.Card;
 import beamspread.tier.TierSettings;
+import beamspread.variants.VariantFile;
+import beamspread.variants.VariantRule;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -37,6 +41,7 @@
  *     for none
  * @param management where operators call, null for nowhere
  * @param tier its part in the membership of its tier, null for none
+ * @param variants its part in variant keys, null for none
  */
 record NodeConfig(
     SocketAddress listen,
@@ -52,7 +57,8 @@
     boolean jsonLog,
     String statusSocket,
     Management management,
-    TierPart tier) {
+    TierPart tier,
+    VariantPart variants) {
 
   /**
    * The part of the descriptors that open requests may take: three quarters of what clients hold at
@@ -122,7 +128,8 @@
         jsonLog(config.text("log_format", "text")),
         config.text("status_socket", null),
         management(config),
-        tier(config, settings));
+        tier(config, settings),
+        variants(config, settings));
   }
 
   /** Where the platform lets nodes talk and the operators' file says so; else null. */
@@ -166,6 +173,45 @@
     return new TierPart(listen, peers, settings.number(), card, of, management(config) != null);
   }
 
+  /** Where the operators' file says which keys are variants of one another; else null. */
+  private static VariantPart variants(Message config, Settings settings) throws WireException {
+    String file = config.text("variants_file", null);
+    if (file == null) {
+      return null;
+    }
+    VariantFile read;
+    try {
+      read = VariantFileReader.read(new String(read(file), StandardCharsets.UTF_8));
+      for (VariantRule rule : read.rules().all()) {
+        checkReads(rule, settings);
+      }
+    } catch (WireException e) {
+      throw new WireException("variants_file " + file + ": " + e.getMessage());
+    }
+    String tokenFile = config.text("variants_token_file", null);
+    try {
+      return new VariantPart(
+          read,
+          MemberList.address(config.requiredText("variants_agent")),
+          tokenFile == null ? null : new String(read(tokenFile), StandardCharsets.UTF_8).strip());
+    } catch (WireException e) {
+      throw new WireException("variants_agent: " + e.getMessage());
+    }
+  }
+
+  /** Only requests whose effect may be repeated may be asked under another key. */
+  private static void checkReads(VariantRule rule, Settings settings) throws WireException {
+    for (String request : rule.requests()) {
+      if (settings.services().stream()
+          .noneMatch(
+              service ->
+                  service.name().equals(request) && service.effect() == Settings.Effect.SAFE)) {
+        throw new WireException(
+            "rule " + rule.prefix() + ": '" + request + "' is no class of requests that only read");
+      }
+    }
+  }
+
   private static Management management(Message config) throws WireException {
     String listen = config.text("mgmt", System.getenv("ROUTER_MGMT"));
     if (listen == null || listen.isEmpty()) {
@@ -250,6 +296,7 @@
         || !Objects.equals(
             tier == null ? null : tier.settings(),
             started.tier == null ? null : started.tier.settings())
+        || (variants == null) != (started.variants == null)
         || !Objects.equals(
             management == null ? null : management.listen,
             started.management == null ? null : started.management.listen);
--- a/src/main/java/beamspread/node/NodeStatus.java
+++ b/src/main/java/beamspread/node/NodeStatus.java
@@ -3,8 +3,10 @@
 import beamspread.model.ServerEntry;
 import beamspread.node.tier.TierSocket;
 import beamspread.node.tier.TierStatus;
+import beamspread.node.variants.VariantStatus;
 import beamspread.node.wire.Json;
 import beamspread.relay.Relays;
+import beamspread.variants.VariantKeys;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.util.Map;
@@ -24,6 +26,7 @@
  * @param longestTurnMs the longest turn of the event loop since the start, in milliseconds
  * @param pauses how many turns took 50 ms or more
  * @param tier this node's part in its tier, null for none
+ * @param variants its canonical keys, null for none
  */
 record NodeStatus(
     Configuration configuration,
@@ -37,7 +40,8 @@
     boolean draining,
     long longestTurnMs,
     int pauses,
-    TierSocket tier) {
+    TierSocket tier,
+    VariantKeys variants) {
 
   /**
    * How the readings of the configuration fared. A reading is over, for good or ill, when {@code
@@ -123,6 +127,7 @@
               json.writeNumberField("longest_turn_ms", longestTurnMs);
               json.writeNumberField("pauses", pauses);
               TierStatus.write(json, tier);
+              VariantStatus.write(json, variants);
             })
         + "\n";
   }
--- a/src/main/java/beamspread/node/OpenRequest.java
+++ b/src/main/java/beamspread/node/OpenRequest.java
@@ -2,6 +2,7 @@
 
 import beamspread.node.client.ClientHandler;
 import beamspread.node.wire.MetaCommand;
+import beamspread.variants.VariantKeys;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -13,6 +14,9 @@
   private final long takenNanos;
   final List<RequestAttempt> attempts = new ArrayList<>(1);
 
+  /** What became of its key; null if it is as the client sent it. */
+  VariantKeys.Rewrite rewrite;
+
   /** Attempts whose outcome the module has not been told. */
   int out;
 
--- a/src/main/java/beamspread/node/Rehearsal.java
+++ b/src/main/java/beamspread/node/Rehearsal.java
@@ -163,6 +163,7 @@
             config.management() == null
                 ? null
                 : new NodeConfig.Management(address("mgmt"), null, folder.resolve("shared")),
+            null,
             null);
     Node node = new Node(rehearsed, ClientConnections.Limits.usual(8), Transport.DOMAIN);
     try {
--- a/src/main/java/beamspread/node/RequestIntake.java
+++ b/src/main/java/beamspread/node/RequestIntake.java
@@ -5,10 +5,12 @@
 import beamspread.model.Request;
 import beamspread.node.client.ClientHandler;
 import beamspread.node.client.Requests;
+import beamspread.node.variants.VariantTraffic;
 import beamspread.node.wire.MetaCommand;
 import beamspread.overload.ConcurrencyLimit;
 import beamspread.overload.DeadlineReserve;
 import beamspread.policy.Balancer;
+import beamspread.variants.VariantKeys;
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
 
@@ -37,6 +39,9 @@
   private final DeadlineReserve reserve = new DeadlineReserve();
   private final ConcurrencyLimit limit = new ConcurrencyLimit();
 
+  /** Requests' keys; null where they stay as they are. */
+  private VariantTraffic variants;
+
   /** When this process gives its last answers, on the clock of {@link System#nanoTime()}. */
   private long endsAt;
 
@@ -59,6 +64,11 @@
     this.longestDeadlineNanos = longestDeadlineNanos;
   }
 
+  /** Keys are replaced by canonical ones from now on. */
+  void use(VariantTraffic traffic) {
+    variants = traffic;
+  }
+
   /** The event loop has stalled for so long until now. */
   void stalled(long nanos) {
     long now = System.nanoTime();
@@ -138,7 +148,12 @@
       return null;
     }
     wait -= reserve.nanos(now, wait);
-    return begin(new OpenRequest(command, slot, sentAt, now + wait), wait);
+    VariantKeys.Rewrite rewrite = variants == null ? null : variants.asks(command);
+    boolean other = rewrite != null && !rewrite.key().equals(command.request.key());
+    MetaCommand asked = other ? command.about(rewrite.key()) : command;
+    OpenRequest request = new OpenRequest(asked, slot, sentAt, now + wait);
+    request.rewrite = rewrite;
+    return begin(request, wait);
   }
 
   /** How long the client of a request still waits; no client waits longer than the settings say. */
--- a/src/main/java/beamspread/node/wire/MetaCommand.java
+++ b/src/main/java/beamspread/node/wire/MetaCommand.java
@@ -21,6 +21,9 @@
 
   private static final int MAX_ID = 64;
 
+  /** Where the key begins in the line, behind the command and a space. */
+  private static final int KEY_START = 3;
+
   /** Bytes dropped from a client that was turned away, before its sending is held up. */
   private static final int MAX_DISCARDED = 1 << 18;
 
@@ -77,6 +80,27 @@
         : allocator.compositeBuffer(2).addComponents(true, head, value.retainedDuplicate());
   }
 
+  /**
+   * The same read of another key: the client's own line but for that. It takes this one's place.
+   */
+  public MetaCommand about(String key) {
+    byte[] bytes = key.getBytes(StandardCharsets.ISO_8859_1);
+    int end = KEY_START + request.key().length();
+    int longer = bytes.length - request.key().length();
+    byte[] other = new byte[line.length + longer];
+    System.arraycopy(line, 0, other, 0, KEY_START);
+    System.arraycopy(bytes, 0, other, KEY_START, bytes.length);
+    System.arraycopy(line, end, other, end + longer, line.length - end);
+    return new MetaCommand(
+        null,
+        false,
+        request.about(key),
+        other,
+        deadlineStart + longer,
+        deadlineEnd + longer,
+        budget);
+  }
+
   /** Lets the value go: no further attempt can follow. Those being written keep their own hold. */
   public void release() {
     if (value != null) {
--- a/src/main/java/beamspread/standin/OpenLoop.java
+++ b/src/main/java/beamspread/standin/OpenLoop.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -44,6 +45,7 @@
   private final EventLoop loop;
   private final InetSocketAddress node;
   private final SplittableRandom random;
+  private final Supplier<String> keys;
   private final List<Connection> connections = new ArrayList<>();
   private final List<Window> windows = new ArrayList<>();
   private final CompletableFuture<List<Window>> done = new CompletableFuture<>();
@@ -55,6 +57,12 @@
 
   /** Clients of one node. */
   public OpenLoop(EventLoop loop, InetSocketAddress node, long seed) {
+    this(loop, node, seed, null);
+  }
+
+  /** The same, with clients that only read, and these keys. */
+  public OpenLoop(EventLoop loop, InetSocketAddress node, long seed, Supplier<String> keys) {
+    this.keys = keys;
     this.loop = loop;
     this.node = node;
     this.random = new SplittableRandom(seed);
@@ -137,8 +145,8 @@
 
     void ask(long due, Window window) {
       String id = Long.toHexString(run) + "-" + asked;
-      boolean write = random.nextInt(10) == 0;
-      String key = "k" + random.nextInt(5000);
+      boolean write = keys == null && random.nextInt(10) == 0;
+      String key = keys == null ? "k" + random.nextInt(5000) : keys.get();
       if (!channel.isActive()) {
         window.failed++;
         ended++;
--- a/src/test/java/beamspread/ArchitectureTest.java
+++ b/src/test/java/beamspread/ArchitectureTest.java
@@ -86,6 +86,29 @@
     }
   }
 
+  @Test
+  void canonicalKeysAreDecidedWithoutInputOutputOrClocks() {
+    classes()
+        .that()
+        .resideInAPackage("beamspread.variants..")
+        .should()
+        .onlyDependOnClassesThat()
+        .resideInAnyPackage(
+            "beamspread.variants..",
+            "java.lang..",
+            "java.util..",
+            "java.nio",
+            "java.nio.charset",
+            "java.security")
+        .check(ALL);
+    noClasses()
+        .that()
+        .resideInAPackage("beamspread.variants..")
+        .should()
+        .callMethod(System.class, "nanoTime")
+        .check(ALL);
+  }
+
   @Test
   void whatOperatorsSayIsDecidedWithoutInputOutputOrClocks() {
     classes()
@@ -165,6 +188,7 @@
             "beamspread.relay..",
             "beamspread.maintenance..",
             "beamspread.tier..",
+            "beamspread.variants..",
             "beamspread.node..")
         .should()
         .dependOnClassesThat()
@@ -184,6 +208,7 @@
             "beamspread.node.handover..",
             "beamspread.node.relay..",
             "beamspread.node.tier..",
+            "beamspread.node.variants..",
             "beamspread.node.wire..")
         .should()
         .dependOnClassesThat()
--- a/src/test/java/beamspread/chaos/JudgesTest.java
+++ b/src/test/java/beamspread/chaos/JudgesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import beamspread.standin.VariantValues;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -259,6 +260,48 @@
         .containsExactly("step as owner 1 after 2");
   }
 
+  private List<String> variants() {
+    return VariantsJudge.judge(history.events(), 2 * SECOND).stream()
+        .map(Breach::invariant)
+        .toList();
+  }
+
+  @Test
+  void aVariantThatIsAnsweredWronglyForTooLongIsFound() {
+    now += 10 * SECOND;
+    tell(History.What.TOLD, "n0", "short", VariantClient.STALE, 2 * SECOND);
+    assertThat(variants()).isEmpty();
+    tell(History.What.TOLD, "n0", "long", VariantClient.STALE, 2 * SECOND + 1);
+    assertThat(variants()).containsExactly("wrong variant");
+    tell(History.What.TOLD, "n0", "never its own", VariantClient.STALE, Long.MAX_VALUE);
+    tell(History.What.SEEN, "rig", "views differ", VariantsJudge.DIFFER, true);
+    assertThat(variants()).containsExactly("wrong variant", "wrong variant", "no agreement");
+  }
+
+  @Test
+  void aMachineThatStoodStillExcusesALateSplitAndNotAValueThatNeverWas() {
+    now += 10 * SECOND;
+    tell(History.What.SEEN, "rig", "stood", Run.STOOD, SECOND);
+    tell(History.What.TOLD, "n0", "late", VariantClient.STALE, 3 * SECOND);
+    assertThat(variants()).isEmpty();
+    tell(History.What.TOLD, "n0", "never its own", VariantClient.STALE, Long.MAX_VALUE);
+    assertThat(variants()).containsExactly("wrong variant");
+  }
+
+  @Test
+  void aValueIsStaleFromWhenItsVariantHadAnother() {
+    VariantValues values = new VariantValues();
+    long before = System.nanoTime();
+    values.change("page/tablet/1", "other");
+    long after = System.nanoTime();
+    assertThat(values.staleNanos("page/phone/1", "object-1", after)).isZero();
+    assertThat(values.staleNanos("page/tablet/1", "other", after)).isZero();
+    assertThat(values.staleNanos("page/tablet/1", "object-1", before)).isZero();
+    assertThat(values.staleNanos("page/tablet/1", "object-1", after + SECOND))
+        .isBetween(SECOND, SECOND + after - before);
+    assertThat(values.staleNanos("page/tablet/1", "object-2", after)).isEqualTo(Long.MAX_VALUE);
+  }
+
   private void lost(String... tried) {
     now += 2 * SECOND;
     tell(
--- a/src/test/java/beamspread/chaos/ScenesTest.java
+++ b/src/test/java/beamspread/chaos/ScenesTest.java
@@ -173,6 +173,31 @@
     assertThat(outcome.breaches()).isEmpty();
   }
 
+  /** Owners that are stopped, cut off and killed, while values come to differ. */
+  @Test
+  void noVariantIsServedWrongForLongerThanIsStated() throws Exception {
+    Run.Outcome outcome =
+        play(
+            "variants",
+            new VariantsScene(2, 4, 2),
+            0,
+            process(Fault.Kind.PAUSE, 0.8, 3, "owner-1"),
+            link(Fault.Kind.ONE_WAY, 1.5, 2, "agent-1", "n0"),
+            link(Fault.Kind.ONE_WAY, 1.5, 2, "n1", "agent-2"),
+            process(Fault.Kind.KILL, 2.5, 0.2, "agent-1"),
+            process(Fault.Kind.PAUSE, 3.0, 1.5, "n2"),
+            link(Fault.Kind.CUT, 4.0, 2, "owner-2", "agent-2"),
+            process(Fault.Kind.KILL, 4.5, 0.1, "n3"));
+    assertThat(outcome.breaches()).isEmpty();
+    History.Event reads =
+        outcome.events().stream()
+            .filter(event -> event.facts().containsKey("canonical_reads"))
+            .findFirst()
+            .orElseThrow();
+    // A quarter of them without the table.
+    assertThat(reads.number("canonical_reads", 0)).isGreaterThan(reads.number("reads", 0) * 3 / 10);
+  }
+
   /** Twelve nodes that know one another, under client load, through the hard cases. */
   @Test
   void nodesKnowWhoIsThereThroughPausesCutsLossesAndDeaths() throws Exception {
--- a/src/test/java/beamspread/cli/ChaosCommandTest.java
+++ b/src/test/java/beamspread/cli/ChaosCommandTest.java
@@ -45,7 +45,8 @@
     assertThat(chaos("run", "scene = \"store\"\nseconds = 0\n")).isEqualTo(2);
     assertThat(err.toString()).contains("run.toml:2: seconds: must be 1.0 to 600.0, is 0.0");
     assertThat(chaos("run", "scene = \"storm\"\n")).isEqualTo(2);
-    assertThat(err.toString()).contains("run.toml:1: scene: store, rollout or nodes is needed");
+    assertThat(err.toString())
+        .contains("run.toml:1: scene: store, rollout, nodes or variants is needed");
     assertThat(chaos("run", "scene = \"store\"\n", "--runs", "0")).isEqualTo(2);
     assertThat(err.toString()).contains("--runs must be 1 to 1000");
   }
--- a/src/test/java/beamspread/node/EverNewTest.java
+++ b/src/test/java/beamspread/node/EverNewTest.java
@@ -85,6 +85,7 @@
                   false,
                   null,
                   null,
+                  null,
                   null),
               ClientConnections.Limits.usual(64),
               Transport.TCP);
--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -410,6 +410,7 @@
             false,
             null,
             null,
+            null,
             null),
         ClientConnections.Limits.usual(16),
         Transport.TCP);
@@ -565,6 +566,7 @@
                   false,
                   null,
                   management,
+                  null,
                   null),
               limits,
               relayed,
