Chaos rig: plays side by side take no port from one another

Change: ports are not given away twice in one process; a process that has ended is not ready whoever answers at its address; of many plays one that can't be played is counted and told, and the others go on. Measured: PortsTest, JudgesTest, ChaosCommandTest pass.

--- a/src/main/java/beamspread/chaos/Ports.java
+++ b/src/main/java/beamspread/chaos/Ports.java
@@ -6,6 +6,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 
 /**
@@ -18,6 +20,11 @@
   private static final int COUNT = 12_000;
   private static final int TRIES = 200;
 
+  /** Ports that were given away last: runs side by side must not take one from another. */
+  private static final int REMEMBERED = COUNT / 2;
+
+  private static final Set<Integer> GIVEN = new LinkedHashSet<>();
+
   private Ports() {}
 
   /**
@@ -30,14 +37,24 @@
       int port = FIRST + ThreadLocalRandom.current().nextInt(COUNT);
       try (ServerSocket streams = new ServerSocket(port, 1, here);
           DatagramSocket datagrams = new DatagramSocket(port, here)) {
-        if (streams.getLocalPort() == datagrams.getLocalPort()) {
+        if (streams.getLocalPort() == datagrams.getLocalPort() && give(port)) {
           return port;
         }
       } catch (IOException e) {
         last = e;
       }
     }
-    throw last;
+    throw last == null ? new IOException("no free port was found") : last;
+  }
+
+  /** Whether a port was not given away lately; then it is now. */
+  private static boolean give(int port) {
+    synchronized (GIVEN) {
+      if (GIVEN.size() >= REMEMBERED) {
+        GIVEN.remove(GIVEN.iterator().next());
+      }
+      return GIVEN.add(port);
+    }
   }
 
   /** The same for datagrams. */
--- a/src/main/java/beamspread/chaos/Program.java
+++ b/src/main/java/beamspread/chaos/Program.java
@@ -128,7 +128,8 @@
    */
   public void awaitReady(long seconds) throws IOException, InterruptedException {
     long until = System.nanoTime() + seconds * 1_000_000_000L;
-    while (!ready.getAsBoolean()) {
+    // Also where something answers: it may be another process, on the port of one that has ended.
+    while (!alive() || !ready.getAsBoolean()) {
       if (!alive() || System.nanoTime() > until) {
         throw new IOException(
             name + (alive() ? " does not answer: " : " has ended: ") + logEnd().strip());
--- a/src/main/java/beamspread/cli/ChaosRunCommand.java
+++ b/src/main/java/beamspread/cli/ChaosRunCommand.java
@@ -116,7 +116,20 @@
           Schedule schedule = read.schedule(first + begun);
           underWay.add(players.submit(() -> play(read, schedule)));
         }
-        Run.Outcome outcome = outcome(underWay.remove());
+        Run.Outcome outcome;
+        try {
+          outcome = outcome(underWay.remove());
+        } catch (IOException e) {
+          if (runs == 1) {
+            throw e;
+          }
+          // A scene that does not come up says nothing of the others.
+          spec.commandLine()
+              .getErr()
+              .println("seed " + (first + i) + " could not be played: " + e.getMessage());
+          totals.notPlayed();
+          continue;
+        }
         totals.add(outcome);
         write(read, outcome);
         if (output == Output.json) {
--- a/src/main/java/beamspread/cli/PlayTotals.java
+++ b/src/main/java/beamspread/cli/PlayTotals.java
@@ -14,6 +14,7 @@
   private int plays;
   private int held;
   private int unjudged;
+  private int notPlayed;
 
   /** One more play has ended. */
   void add(Run.Outcome outcome) {
@@ -26,9 +27,14 @@
         .forEach(invariant -> broken.merge(invariant, 1, Integer::sum));
   }
 
-  /** Whether all held, and all could be judged. */
+  /** One could not be played. */
+  void notPlayed() {
+    notPlayed++;
+  }
+
+  /** Whether all could be played and judged, and all held. */
   boolean good() {
-    return held == plays;
+    return held == plays && notPlayed == 0;
   }
 
   /** In how many plays each invariant was broken; those that held everywhere are left out. */
@@ -39,6 +45,9 @@
   /** The totals on one line. */
   String text() {
     String all = held + " of " + plays + " plays held";
+    if (notPlayed > 0) {
+      all += "; " + notPlayed + " could not be played";
+    }
     if (unjudged > 0) {
       all += "; " + unjudged + " could not be judged whole";
     }
