--- a/src/main/java/beamspread/chaos/VariantClient.java
+++ b/src/main/java/beamspread/chaos/VariantClient.java
@@ -21,11 +21,15 @@
   /** The fact of an answer that was another variant's: for how long it had not been this one's. */
   static final String STALE = "stale_nanos";
 
+  /** The fact that tells the agent of the node that answered. */
+  static final String AGENT = "node_agent";
+
   private static final int WAIT_MILLIS = 700;
   private static final int PACE_MILLIS = 4;
   private static final int MOST_LINE = 256;
 
   private final String name;
+  private final String agent;
   private final InetSocketAddress node;
   private final VariantValues values;
   private final Stage stage;
@@ -37,7 +41,9 @@
   private InputStream in;
   private long number;
 
-  VariantClient(String name, InetSocketAddress node, VariantValues values, Stage stage) {
+  VariantClient(
+      String name, String agent, InetSocketAddress node, VariantValues values, Stage stage) {
+    this.agent = agent;
     this.name = name;
     this.node = node;
     this.values = values;
@@ -105,7 +111,7 @@
     long stale = values.staleNanos(key, value, from);
     if (stale > 0) {
       stage.tell(
-          History.What.TOLD, name, key + " was answered with " + value, STALE, stale, "node", name);
+          History.What.TOLD, name, key + " was answered with " + value, STALE, stale, AGENT, agent);
     }
   }
 
--- a/src/test/java/beamspread/chaos/JudgesTest.java
+++ b/src/test/java/beamspread/chaos/JudgesTest.java
@@ -278,6 +278,44 @@
     assertThat(variants()).containsExactly("wrong variant", "wrong variant", "no agreement");
   }
 
+  @Test
+  void whatDiffersUnderNoTableIsFoundInTheFirstRoundsUnderTheNext() {
+    now += 10 * SECOND;
+    table("agent-1", false);
+    now += 3 * SECOND;
+    table("agent-1", true);
+    now += SECOND;
+    wrong("agent-1", 5 * SECOND);
+    assertThat(variants()).isEmpty();
+    wrong("agent-2", 5 * SECOND);
+    assertThat(variants()).containsExactly("wrong variant");
+    now += SECOND + 1;
+    wrong("agent-1", 6 * SECOND + 1);
+    assertThat(variants()).containsExactly("wrong variant", "wrong variant");
+  }
+
+  private void table(String agent, boolean held) {
+    tell(
+        History.What.SEEN,
+        agent,
+        "table",
+        VariantsJudge.TABLE_AGENT,
+        agent,
+        VariantsJudge.TABLE_HELD,
+        held);
+  }
+
+  private void wrong(String agent, long staleNanos) {
+    tell(
+        History.What.TOLD,
+        "n0",
+        "wrong",
+        VariantClient.STALE,
+        staleNanos,
+        VariantClient.AGENT,
+        agent);
+  }
+
   @Test
   void aMachineThatStoodStillExcusesALateSplitAndNotAValueThatNeverWas() {
     now += 10 * SECOND;
