--- a/src/test/java/beamspread/node/NodeProcessTest.java
+++ b/src/test/java/beamspread/node/NodeProcessTest.java
@@ -277,7 +277,12 @@
           Peers.Client idle = new Peers.Client(listen)) {
         assertEquals("MN", idle.send("mn\r\n").line());
         client.send("mg a v O1 Pc=read,d=2000\r\n");
-        Peers.await("it goes out", () -> server.lines.size() == 1);
+        try {
+          Peers.await("it goes out", () -> server.lines.size() == 1);
+        } catch (AssertionError e) {
+          throw new AssertionError(
+              "went out: " + server.lines + ", the node: " + Files.readString(node.log), e);
+        }
         Message status = status();
         assertEquals(1, status.number("open_requests", 0));
         assertEquals(2, status.number("client_connections", 0));
