Test servers: what a test sends on a connection comes behind the script's answer

Reason: ListEndingsTest.aLineWhoseAddressCannotBeRead... failed in a whole run ("not within 20000 ms: the list", with "malformed answer" in the log). A line was visible before the script had answered it, so that a test which had awaited the line could send its list ahead of the answer's head. Change: a connection's lock is held from when the line is told until its answer is written, and by Server.send. No assertion is touched.

--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -112,7 +112,10 @@
 
     /** Sends text on the connection on which the line of this number came. */
     void send(int line, String text) throws IOException {
-      sources.get(line).getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      Socket to = sources.get(line);
+      synchronized (to) {
+        to.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      }
     }
 
     /** Ends the connection on which this line came, which must be the only such line. */
@@ -185,14 +188,17 @@
           if (line.startsWith("ms ")) {
             in.readNBytes(Integer.parseInt(line.split(" ")[2]) + 2);
           }
-          synchronized (this) {
-            sources.add(socket);
-            lines.add(line);
-          }
-          String answer = script.apply(line);
-          if (answer != null) {
-            socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
-            socket.getOutputStream().flush();
+          // Whoever sees the line and sends on its connection comes behind the script's answer.
+          synchronized (socket) {
+            synchronized (this) {
+              sources.add(socket);
+              lines.add(line);
+            }
+            String answer = script.apply(line);
+            if (answer != null) {
+              socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+              socket.getOutputStream().flush();
+            }
           }
         }
       } finally {
