Variant keys, rig, loop: one piece where two stood; an owner goes on with the file it took last

One fault: `variants run` that lost its lease and got it back published what the file had said at its start, though a later change had been taken over, and read the file twice more than needed. Change: VariantSource reads the file and keeps what it said last. VariantKeys finds a key's match in one place, and no longer keeps a second table. WorkLease.of in place of four stand-ins, Ports.greets of two, LineClient of what SheetWriter and VariantClient had each for itself, Discovery.listAt of three lists, CommandRun of three tests' runs, ForwardingIoHandler of the handler and its test's; one reading of token files in NodeConfig, which names the right key and refuses an empty file for variants as it did for operators. The tier's search for members that are away made a record for each number at each knock; it asks for the number now. `chaos run` counts what is begun from what is under way. No assertion is loosened.

--- a/src/main/java/beamspread/chaos/NodesScene.java
+++ b/src/main/java/beamspread/chaos/NodesScene.java
@@ -348,13 +348,7 @@
     }
 
     boolean answers() {
-      try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
-        socket.setSoTimeout(1000);
-        socket.getOutputStream().write("mn\r\n".getBytes(StandardCharsets.US_ASCII));
-        return socket.getInputStream().read() == 'M';
-      } catch (IOException e) {
-        return false;
-      }
+      return Ports.greets(at);
     }
 
     @Override
--- a/src/main/java/beamspread/chaos/Ports.java
+++ b/src/main/java/beamspread/chaos/Ports.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -19,6 +20,7 @@
   private static final int FIRST = 20_000;
   private static final int COUNT = 12_000;
   private static final int TRIES = 200;
+  private static final int GREETING_MILLIS = 1000;
 
   /** Ports that were given away last: runs side by side must not take one from another. */
   private static final int REMEMBERED = COUNT / 2;
@@ -62,6 +64,17 @@
     return new InetSocketAddress(InetAddress.getLoopbackAddress(), free());
   }
 
+  /** Whether a node answers there. */
+  static boolean greets(InetSocketAddress at) {
+    try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
+      socket.setSoTimeout(GREETING_MILLIS);
+      socket.getOutputStream().write("mn\r\n".getBytes(StandardCharsets.US_ASCII));
+      return socket.getInputStream().read() == 'M';
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   /** Whether somebody listens there for streams. */
   static boolean listens(InetSocketAddress at) {
     try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
--- a/src/main/java/beamspread/chaos/SheetWriter.java
+++ b/src/main/java/beamspread/chaos/SheetWriter.java
@@ -1,11 +1,7 @@
 package beamspread.chaos;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -20,11 +16,10 @@
 
   private static final int PACE_MILLIS = 8;
   private static final int MOST_WRITES = 20_000;
-  private static final int MOST_LINE = 256;
 
   private final String name;
   private final int sheets;
-  private final InetSocketAddress store;
+  private final LineClient store;
   private final Stage stage;
   private final SplittableRandom random;
   private final long[] asked;
@@ -33,13 +28,12 @@
   private volatile boolean stop;
   private volatile boolean ended;
   private volatile boolean quiet = true;
-  private Socket socket;
   private long opaque;
 
   SheetWriter(String name, int sheets, InetSocketAddress store, Stage stage) {
     this.name = name;
     this.sheets = sheets;
-    this.store = store;
+    this.store = new LineClient(store, WAIT_MILLIS, WAIT_MILLIS);
     this.stage = stage;
     this.random = new SplittableRandom(stage.seed() * 31 + name.hashCode());
     this.asked = new long[sheets];
@@ -77,7 +71,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } finally {
-      close();
+      store.close();
     }
   }
 
@@ -90,7 +84,7 @@
         read(sheet);
       }
     }
-    close();
+    store.close();
   }
 
   private void write(int sheet) throws InterruptedException {
@@ -184,42 +178,13 @@
   /** The answer's line, and a value's text behind it; empty where there was none. */
   private String answer(String command) {
     try {
-      if (socket == null) {
-        Socket fresh = new Socket();
-        socket = fresh;
-        fresh.connect(store, WAIT_MILLIS);
-        fresh.setSoTimeout(WAIT_MILLIS);
-        fresh.setTcpNoDelay(true);
-      }
-      socket.getOutputStream().write(command.getBytes(StandardCharsets.US_ASCII));
-      String line = line(socket.getInputStream());
-      return line.startsWith("VA ") ? line + "\n" + line(socket.getInputStream()) : line;
+      store.send(command);
+      String line = store.line();
+      return line.startsWith("VA ") ? line + "\n" + store.line() : line;
     } catch (IOException e) {
       // Given up: what is under way on it may still be carried out.
-      close();
+      store.close();
       return "";
     }
   }
-
-  private static String line(InputStream in) throws IOException {
-    ByteArrayOutputStream line = new ByteArrayOutputStream();
-    for (int next = in.read(); next != '\n'; next = in.read()) {
-      if (next < 0 || line.size() > MOST_LINE) {
-        throw new IOException("no whole line");
-      }
-      line.write(next);
-    }
-    return line.toString(StandardCharsets.US_ASCII).strip();
-  }
-
-  private void close() {
-    try {
-      if (socket != null) {
-        socket.close();
-      }
-    } catch (IOException e) {
-      // It is gone in any case.
-    }
-    socket = null;
-  }
 }
--- a/src/main/java/beamspread/chaos/VariantClient.java
+++ b/src/main/java/beamspread/chaos/VariantClient.java
@@ -1,12 +1,8 @@
 package beamspread.chaos;
 
 import beamspread.standin.VariantValues;
-import java.io.BufferedInputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -26,26 +22,23 @@
 
   private static final int WAIT_MILLIS = 700;
   private static final int PACE_MILLIS = 4;
-  private static final int MOST_LINE = 256;
 
   private final String name;
   private final String agent;
-  private final InetSocketAddress node;
+  private final LineClient node;
   private final VariantValues values;
   private final Stage stage;
   private final SplittableRandom random;
   private volatile boolean stop;
   private volatile long answered;
   private volatile String write;
-  private Socket socket;
-  private InputStream in;
   private long number;
 
   VariantClient(
       String name, String agent, InetSocketAddress node, VariantValues values, Stage stage) {
     this.agent = agent;
     this.name = name;
-    this.node = node;
+    this.node = new LineClient(node, WAIT_MILLIS, 2 * WAIT_MILLIS);
     this.values = values;
     this.stage = stage;
     this.random = new SplittableRandom(stage.seed() * 31 + name.hashCode());
@@ -80,7 +73,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } finally {
-      close();
+      node.close();
     }
   }
 
@@ -88,22 +81,22 @@
     String written = write;
     String id = name + "-" + ++number;
     try {
-      connect();
       if (written != null) {
         write = null;
-        send("ms %s 5 O%s Pc=put,d=%d,k=%s\r\nvalue\r\n".formatted(written, id, WAIT_MILLIS, id));
-        line();
+        node.send(
+            "ms %s 5 O%s Pc=put,d=%d,k=%s\r\nvalue\r\n".formatted(written, id, WAIT_MILLIS, id));
+        node.line();
         return;
       }
       String key = key(random.nextInt(CLASSES.length), random.nextInt(OBJECTS));
       long from = System.nanoTime();
-      send("mg %s v O%s Pc=read,d=%d\r\n".formatted(key, id, WAIT_MILLIS));
-      if (line().startsWith("VA ")) {
+      node.send("mg %s v O%s Pc=read,d=%d\r\n".formatted(key, id, WAIT_MILLIS));
+      if (node.line().startsWith("VA ")) {
         answered++;
-        hold(key, line(), from);
+        hold(key, node.line(), from);
       }
     } catch (IOException e) {
-      close();
+      node.close();
     }
   }
 
@@ -114,41 +107,4 @@
           History.What.TOLD, name, key + " was answered with " + value, STALE, stale, AGENT, agent);
     }
   }
-
-  private void connect() throws IOException {
-    if (socket == null) {
-      Socket fresh = new Socket();
-      socket = fresh;
-      fresh.connect(node, WAIT_MILLIS);
-      fresh.setSoTimeout(2 * WAIT_MILLIS);
-      fresh.setTcpNoDelay(true);
-      in = new BufferedInputStream(fresh.getInputStream());
-    }
-  }
-
-  private void send(String command) throws IOException {
-    socket.getOutputStream().write(command.getBytes(StandardCharsets.US_ASCII));
-  }
-
-  private String line() throws IOException {
-    StringBuilder line = new StringBuilder();
-    for (int next = in.read(); next != '\n'; next = in.read()) {
-      if (next < 0 || line.length() > MOST_LINE) {
-        throw new IOException("no whole line");
-      }
-      line.append((char) next);
-    }
-    return line.toString().strip();
-  }
-
-  private void close() {
-    try {
-      if (socket != null) {
-        socket.close();
-      }
-    } catch (IOException e) {
-      // It is gone in any case.
-    }
-    socket = null;
-  }
 }
--- a/src/main/java/beamspread/chaos/VariantsScene.java
+++ b/src/main/java/beamspread/chaos/VariantsScene.java
@@ -14,9 +14,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.net.URI;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -196,14 +194,7 @@
   }
 
   private String list() {
-    List<String> entries = new ArrayList<>();
-    for (int s = 0; s < SERVERS; s++) {
-      entries.add(
-          ("{\"id\":\"server-%d\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"a\",\"kind\":\"box\","
-                  + "\"state\":\"active\",\"weight\":1.0}")
-              .formatted(s, servers.get(s).address().getPort()));
-    }
-    return "{\"version\":1,\"full\":true,\"servers\":[" + String.join(",", entries) + "]}";
+    return Discovery.listAt(1, servers.stream().map(VariantOrigin::address).toList());
   }
 
   private void startAgent(int number) throws IOException {
@@ -285,20 +276,10 @@
         folder,
         words,
         Map.of("ROUTER_CONFIG", config.toString(), "TMPDIR", folder.toString()),
-        () -> answers(at));
+        () -> Ports.greets(at));
     return at;
   }
 
-  private static boolean answers(InetSocketAddress at) {
-    try (Socket socket = new Socket(at.getAddress(), at.getPort())) {
-      socket.setSoTimeout(1000);
-      socket.getOutputStream().write("mn\r\n".getBytes(StandardCharsets.US_ASCII));
-      return socket.getInputStream().read() == 'M';
-    } catch (IOException e) {
-      return false;
-    }
-  }
-
   /** One variant comes to differ elsewhere, and then another by a write through a node. */
   private void changeValues() {
     SplittableRandom random = new SplittableRandom(stage.seed());
--- a/src/main/java/beamspread/cli/ChaosRunCommand.java
+++ b/src/main/java/beamspread/cli/ChaosRunCommand.java
@@ -109,11 +109,10 @@
     ExecutorService players = Executors.newFixedThreadPool(parallel);
     try {
       ArrayDeque<Future<Run.Outcome>> underWay = new ArrayDeque<>();
-      int begun = 0;
       for (int i = 0; i < runs; i++) {
         // No more are begun than are played at once: each outcome holds its whole history.
-        for (; begun < Math.min(runs, i + parallel); begun++) {
-          Schedule schedule = read.schedule(first + begun);
+        while (underWay.size() < Math.min(parallel, runs - i)) {
+          Schedule schedule = read.schedule(first + i + underWay.size());
           underWay.add(players.submit(() -> play(read, schedule)));
         }
         Run.Outcome outcome;
--- a/src/main/java/beamspread/cli/MeasureVariants.java
+++ b/src/main/java/beamspread/cli/MeasureVariants.java
@@ -182,7 +182,8 @@
       Files.writeString(rules, rules(count, percent));
       VariantFile file = VariantFileReader.read(Files.readString(rules));
       try (Fleet fleet = scratch.fleet(List.of(agent))) {
-        VariantPublisher publisher = new VariantPublisher(fleet, owner(), file);
+        VariantPublisher publisher =
+            new VariantPublisher(fleet, WorkLease.of(new FencingToken("variants/main", 1)), file);
         publisher.round();
         publishing.scheduleWithFixedDelay(publisher::round, 2, 2, TimeUnit.SECONDS);
         Discovery discovery = new Discovery(group.next(), () -> list(caches));
@@ -199,29 +200,8 @@
     }
   }
 
-  private static WorkLease owner() {
-    return new WorkLease() {
-      @Override
-      public FencingToken token() {
-        return new FencingToken("variants/main", 1);
-      }
-
-      @Override
-      public boolean held() {
-        return true;
-      }
-    };
-  }
-
   private static String list(List<CountingCache> caches) {
-    List<String> entries = new ArrayList<>();
-    for (int s = 0; s < caches.size(); s++) {
-      entries.add(
-          ("{\"id\":\"s-%d\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"a\",\"kind\":\"box\","
-                  + "\"state\":\"active\",\"weight\":1.0}")
-              .formatted(s, caches.get(s).address().getPort()));
-    }
-    return "{\"version\":1,\"full\":true,\"servers\":[" + String.join(",", entries) + "]}";
+    return Discovery.listAt(1, caches.stream().map(CountingCache::address).toList());
   }
 
   private NodeProcess node(
--- a/src/main/java/beamspread/cli/VariantsCommand.java
+++ b/src/main/java/beamspread/cli/VariantsCommand.java
@@ -10,7 +10,6 @@
 import beamspread.lease.LeaseHeldException;
 import beamspread.lease.LeaseStore;
 import beamspread.lease.LeaseStoreException;
-import beamspread.node.variants.VariantFileReader;
 import beamspread.sim.WireException;
 import beamspread.variants.HeldTable;
 import beamspread.variants.VariantException;
@@ -18,15 +17,12 @@
 import beamspread.variants.VariantKeys;
 import beamspread.variants.VariantTable;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
@@ -57,10 +53,10 @@
 
   /** A subcommand. */
   abstract static class VariantsAction extends InventoryAction {
-    /** Reads the operators' file; ends with what is wrong with it. */
-    final VariantFile read(Path file) {
+    /** Opens the operators' file; ends with what is wrong with it. */
+    final VariantSource open(Path file) {
       try {
-        return VariantFileReader.read(Files.readString(file, StandardCharsets.UTF_8));
+        return new VariantSource(file);
       } catch (IOException e) {
         throw usage(file + " cannot be read");
       } catch (WireException e) {
@@ -85,7 +81,7 @@
 
     @Override
     public Integer call() throws Exception {
-      VariantFile read = read(file);
+      VariantSource source = open(file);
       Inventory agents = Inventory.read(inventory());
       LeaseSettings lease = agents.lease();
       if (lease == null) {
@@ -93,7 +89,7 @@
       }
       try (LeaseStore store = LeaseStores.open(lease)) {
         while (!Thread.currentThread().isInterrupted()) {
-          own(store, lease, agents, read);
+          own(store, lease, agents, source);
         }
       } catch (LeaseStoreException e) {
         err().println(e.getMessage());
@@ -103,9 +99,10 @@
     }
 
     /** Takes the lease and publishes until it is lost. */
-    private void own(LeaseStore store, LeaseSettings settings, Inventory agents, VariantFile first)
+    private void own(
+        LeaseStore store, LeaseSettings settings, Inventory agents, VariantSource source)
         throws Exception {
-      String name = LeaseSettings.variants(first.settings().fleet());
+      String name = LeaseSettings.variants(source.file().settings().fleet());
       try (LeaseKeeper lease =
               LeaseKeeper.acquire(
                   store,
@@ -116,17 +113,15 @@
                   held -> say(held.getMessage() + ": waiting"));
           Fleet fleet = new Fleet(agents)) {
         say("owner of " + name + ": " + by + ", token " + lease.token().epoch());
-        publish(lease, new VariantPublisher(fleet, lease, first), first);
+        publish(lease, new VariantPublisher(fleet, lease, source.file()), source);
         say("the lease is lost");
       } catch (LeaseHeldException e) {
         throw new IllegalStateException(e);
       }
     }
 
-    private void publish(LeaseKeeper lease, VariantPublisher publisher, VariantFile first)
+    private void publish(LeaseKeeper lease, VariantPublisher publisher, VariantSource source)
         throws InterruptedException, IOException {
-      VariantFile file = first;
-      String text = Files.readString(this.file, StandardCharsets.UTF_8);
       String told = "";
       while (lease.held()) {
         long from = System.nanoTime();
@@ -142,31 +137,14 @@
           told = what;
           say(what);
         }
-        long rest = file.settings().pullNanos() - (System.nanoTime() - from);
+        long rest = source.file().settings().pullNanos() - (System.nanoTime() - from);
         TimeUnit.NANOSECONDS.sleep(Math.max(0, rest));
-        String now = Files.readString(this.file, StandardCharsets.UTF_8);
-        if (!now.equals(text)) {
-          text = now;
-          file = reread(publisher, file);
+        if (source.reread(this::say)) {
+          publisher.use(source.file());
         }
       }
     }
 
-    private VariantFile reread(VariantPublisher publisher, VariantFile before) {
-      try {
-        VariantFile changed = read(file);
-        if (!changed.settings().fleet().equals(before.settings().fleet())) {
-          say(file + ": another fleet; the file before stays");
-          return before;
-        }
-        publisher.use(changed);
-        return changed;
-      } catch (CommandLine.ParameterException e) {
-        say(e.getMessage() + "; the file before stays");
-        return before;
-      }
-    }
-
     private void say(String line) {
       err().println(line);
       err().flush();
@@ -252,7 +230,7 @@
 
     @Override
     public Integer call() throws Exception {
-      VariantFile read = read(file);
+      VariantFile read = open(file).file();
       try (Fleet agents = new Fleet(Inventory.read(inventory()))) {
         Fleet.Answers<Api.VariantView> views =
             agents.ask(Selection.all(), client -> client.variants(read.settings().fleet()));
@@ -278,7 +256,7 @@
       if (keys.take(0, table, Long.MAX_VALUE / 2) != HeldTable.Taken.NEW) {
         return null;
       }
-      String canonical = keys.canonical(key, requestClass);
+      String canonical = keys.canonical(0, key, requestClass);
       return canonical == null ? null : key + " is asked for as " + canonical;
     }
 
@@ -300,7 +278,7 @@
 
     @Override
     public Integer call() {
-      VariantFile read = read(file);
+      VariantFile read = open(file).file();
       out()
           .println(
               file
--- a/src/main/java/beamspread/loop/WatchedIoHandler.java
+++ b/src/main/java/beamspread/loop/WatchedIoHandler.java
@@ -1,10 +1,8 @@
 package beamspread.loop;
 
-import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.IoRegistration;
 
 /**
  * An event loop's I/O, with a watch that is told when the loop waits and when it works.
@@ -14,14 +12,13 @@
  * uses processor time, half of it in the system, for as long as the clock takes to move on. Each
  * wait is therefore rounded up to whole milliseconds, so that timers fire up to one later.
  */
-public final class WatchedIoHandler implements IoHandler {
+public final class WatchedIoHandler extends ForwardingIoHandler {
   private static final long MILLI_NANOS = 1_000_000L;
 
-  private final IoHandler inner;
   private final LoopWatch watch;
 
   private WatchedIoHandler(IoHandler inner, LoopWatch watch) {
-    this.inner = inner;
+    super(inner);
     this.watch = watch;
   }
 
@@ -35,13 +32,13 @@
     Timed timed = new Timed(context);
     long now = System.nanoTime();
     watch.waits(now, context.canBlock() ? timed.delayNanos(now) : 0);
-    int handled = inner.run(timed);
+    int handled = super.run(timed);
     if (watch.isLate(System.nanoTime())) {
       // A wait that the system has interrupted ends without a look at the sockets, and one that
       // was stopped on its way back with an old one. What lies there is read now, while it is
       // known how long that may be.
       timed.blocks = false;
-      handled += inner.run(timed);
+      handled += super.run(timed);
     }
     watch.ran(System.nanoTime(), timed.busy);
     return handled;
@@ -93,34 +90,4 @@
       return true;
     }
   }
-
-  @Override
-  public void initialize() {
-    inner.initialize();
-  }
-
-  @Override
-  public void prepareToDestroy() {
-    inner.prepareToDestroy();
-  }
-
-  @Override
-  public void destroy() {
-    inner.destroy();
-  }
-
-  @Override
-  public IoRegistration register(IoHandle handle) throws Exception {
-    return inner.register(handle);
-  }
-
-  @Override
-  public void wakeup() {
-    inner.wakeup();
-  }
-
-  @Override
-  public boolean isCompatible(Class<? extends IoHandle> type) {
-    return inner.isCompatible(type);
-  }
 }
--- a/src/main/java/beamspread/node/NodeConfig.java
+++ b/src/main/java/beamspread/node/NodeConfig.java
@@ -188,15 +188,13 @@
     } catch (WireException e) {
       throw new WireException("variants_file " + file + ": " + e.getMessage());
     }
-    String tokenFile = config.text("variants_token_file", null);
+    SocketAddress agent;
     try {
-      return new VariantPart(
-          read,
-          MemberList.address(config.requiredText("variants_agent")),
-          tokenFile == null ? null : new String(read(tokenFile), StandardCharsets.UTF_8).strip());
+      agent = MemberList.address(config.requiredText("variants_agent"));
     } catch (WireException e) {
       throw new WireException("variants_agent: " + e.getMessage());
     }
+    return new VariantPart(read, agent, token(config, "variants_token_file"));
   }
 
   /** Only requests whose effect may be repeated may be asked under another key. */
@@ -223,16 +221,23 @@
     } catch (WireException e) {
       throw new WireException("mgmt: " + e.getMessage());
     }
-    String tokenFile = config.text("mgmt_token_file", null);
-    String token = null;
-    if (tokenFile != null) {
-      token = new String(read(tokenFile), StandardCharsets.UTF_8).strip();
-      if (token.isEmpty()) {
-        throw new WireException("mgmt_token_file " + tokenFile + " is empty");
-      }
-    }
     return new Management(
-        address, token, folder(config.text("name", "node"), config.text("state_folder", null)));
+        address,
+        token(config, "mgmt_token_file"),
+        folder(config.text("name", "node"), config.text("state_folder", null)));
+  }
+
+  /** The token in the file that a field names; null where it names none. */
+  private static String token(Message config, String field) throws WireException {
+    String file = config.text(field, null);
+    if (file == null) {
+      return null;
+    }
+    String token = new String(read(file), StandardCharsets.UTF_8).strip();
+    if (token.isEmpty()) {
+      throw new WireException(field + " " + file + " is empty");
+    }
+    return token;
   }
 
   /** Several nodes may share a folder for temporary files, so that the name tells them apart. */
--- a/src/main/java/beamspread/standin/Discovery.java
+++ b/src/main/java/beamspread/standin/Discovery.java
@@ -70,12 +70,17 @@
 
   /** The list as discovery has it. */
   public static String list(int version, List<CacheServer> servers) {
+    return listAt(version, servers.stream().map(CacheServer::address).toList());
+  }
+
+  /** The same of servers at these addresses. */
+  public static String listAt(int version, List<InetSocketAddress> servers) {
     List<String> lines = new ArrayList<>();
-    for (CacheServer server : servers) {
+    for (InetSocketAddress server : servers) {
       lines.add(
           ("{\"id\":\"s-%d\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"a\",\"kind\":\"box\","
                   + "\"state\":\"active\",\"weight\":1.0}")
-              .formatted(server.address().getPort(), server.address().getPort()));
+              .formatted(server.getPort(), server.getPort()));
     }
     return "{\"version\":%d,\"full\":true,\"servers\":[%s]}"
         .formatted(version, String.join(",", lines));
--- a/src/main/java/beamspread/tier/Identity.java
+++ b/src/main/java/beamspread/tier/Identity.java
@@ -65,6 +65,11 @@
     return new MemberRecord(number, incarnation, life, state);
   }
 
+  /** Its number in the tier. */
+  int number() {
+    return number;
+  }
+
   MemberState state() {
     return state;
   }
--- a/src/main/java/beamspread/tier/Sender.java
+++ b/src/main/java/beamspread/tier/Sender.java
@@ -164,7 +164,7 @@
     for (int number = 0; number < members; number++) {
       MemberRecord of = roster.of(number);
       boolean away =
-          number != identity.record().number()
+          number != identity.number()
               && (of == null || of.state() == MemberState.GONE || of.state() == MemberState.LEFT);
       if (away && random.nextInt(++found) == 0) {
         chosen = number;
@@ -175,7 +175,7 @@
 
   /** A member that is here and not one of these; -1 if chance chose one of them, or itself. */
   int anyHereBut(int[] these) {
-    int self = identity.record().number();
+    int self = identity.number();
     int[] here = roster.hereNumbers();
     int number = here.length == 0 ? self : here[random.nextInt(here.length)];
     boolean one = number == self;
--- a/src/main/java/beamspread/variants/VariantKeys.java
+++ b/src/main/java/beamspread/variants/VariantKeys.java
@@ -34,9 +34,6 @@
 
   private VariantTable compiled;
 
-  /** The table that was taken last. */
-  private VariantTable compiledFrom;
-
   /**
    * What becomes of a request's key.
    *
@@ -71,7 +68,6 @@
       throw e;
     }
     HeldTable.Taken taken = held.take(now, table, bounded(now, holdsUntil));
-    compiledFrom = taken == HeldTable.Taken.NEW ? table : compiledFrom;
     boolean good = taken == HeldTable.Taken.NEW || taken == HeldTable.Taken.RENEWED;
     counts.refused += good ? 0 : 1;
     return taken;
@@ -93,6 +89,21 @@
    * @param requestClass the class of the request
    */
   public Rewrite rewrite(long now, String key, String requestClass) {
+    Match match = match(now, key, requestClass);
+    return match == null || rests(now, match.rule().prefix()) ? null : rewrite(now, key, match);
+  }
+
+  /**
+   * The canonical key under the table in force, whether or not it is to be compared just now; null
+   * if the key stays as it is.
+   */
+  public String canonical(long now, String key, String requestClass) {
+    Match match = match(now, key, requestClass);
+    return match == null || match.isCanonical() ? null : canonical(key, match);
+  }
+
+  /** A key whose class is in a set of the table in force; null for any other. */
+  private Match match(long now, String key, String requestClass) {
     VariantTable table = held.inForce(now);
     if (table == null) {
       return null;
@@ -103,54 +114,44 @@
     }
     int[] standsFor = representatives(table).get(family.rule.prefix());
     VariantRule.Place place = standsFor == null ? null : family.place(key);
-    if (place == null
-        || standsFor[place.deviceClass()] == IN_NO_SET
-        || rests(now, family.rule.prefix())) {
-      return null;
-    }
-    return rewrite(now, key, family.rule, place, standsFor[place.deviceClass()]);
+    return place == null || standsFor[place.deviceClass()] == IN_NO_SET
+        ? null
+        : new Match(family.rule, place, standsFor[place.deviceClass()]);
   }
 
   /**
-   * The canonical key under the table that was taken last, whether or not it is to be compared just
-   * now; null if the key stays as it is.
+   * Where a key names its class, and the class that stands for it.
+   *
+   * @param representative its number
    */
-  public String canonical(String key, String requestClass) {
-    VariantRules.Family family = rules.family(key);
-    if (compiledFrom == null || family == null || !family.rule.requests().contains(requestClass)) {
-      return null;
+  private record Match(VariantRule rule, VariantRule.Place place, int representative) {
+    boolean isCanonical() {
+      return representative == place.deviceClass();
     }
-    int[] standsFor = representatives(compiledFrom).get(family.rule.prefix());
-    VariantRule.Place place = standsFor == null ? null : family.place(key);
-    int representative = place == null ? IN_NO_SET : standsFor[place.deviceClass()];
-    return representative == IN_NO_SET || representative == place.deviceClass()
-        ? null
-        : canonical(key, family.rule, place, representative);
   }
 
-  private static String canonical(
-      String key, VariantRule rule, VariantRule.Place place, int representative) {
-    return key.substring(0, place.start())
-        + rule.classes().get(representative)
-        + key.substring(place.end());
+  private static String canonical(String key, Match match) {
+    return key.substring(0, match.place().start())
+        + match.rule().classes().get(match.representative())
+        + key.substring(match.place().end());
   }
 
-  private Rewrite rewrite(
-      long now, String key, VariantRule rule, VariantRule.Place place, int representative) {
+  private Rewrite rewrite(long now, String key, Match match) {
+    VariantRule.Place place = match.place();
     String object = key.substring(0, place.start()) + CLASS + key.substring(place.end());
     if (sampler.isDue(now, object)) {
-      return new Rewrite(key, rule.prefix(), object, representative, true);
+      return new Rewrite(key, match.rule().prefix(), object, match.representative(), true);
     }
-    if (representative == place.deviceClass()) {
+    if (match.isCanonical()) {
       return null;
     }
-    String canonical = canonical(key, rule, place, representative);
+    String canonical = canonical(key, match);
     if (canonical.length() > LONGEST_KEY) {
       counts.tooLong++;
       return null;
     }
     counts.rewritten++;
-    return new Rewrite(canonical, rule.prefix(), object, representative, false);
+    return new Rewrite(canonical, match.rule().prefix(), object, match.representative(), false);
   }
 
   private Map<String, int[]> representatives(VariantTable table) {
--- a/src/test/java/beamspread/agent/VariantCallsTest.java
+++ b/src/test/java/beamspread/agent/VariantCallsTest.java
@@ -156,18 +156,7 @@
              {"prefix":"list/","separator":"/","field":0,"classes":["phone","tablet"],
               "requests":["read"],"max_age_s":30,"same":["phone+tablet"]}]}
             """);
-    WorkLease lease =
-        new WorkLease() {
-          @Override
-          public FencingToken token() {
-            return new FencingToken("variants/main", 7);
-          }
-
-          @Override
-          public boolean held() {
-            return true;
-          }
-        };
+    WorkLease lease = WorkLease.of(new FencingToken("variants/main", 7));
     VariantPublisher publisher = new VariantPublisher(fleet, lease, file);
     VariantPublisher.Round first = publisher.round();
     assertThat(first.taken()).isEqualTo(1);
--- a/src/test/java/beamspread/cli/FleetCommandTest.java
+++ b/src/test/java/beamspread/cli/FleetCommandTest.java
@@ -5,8 +5,6 @@
 import beamspread.agent.Agent;
 import beamspread.fleet.api.Json;
 import com.fasterxml.jackson.databind.JsonNode;
-import java.io.PrintWriter;
-import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -14,7 +12,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import picocli.CommandLine;
 
 /** The command line as a script sees it: output and exit codes. */
 class FleetCommandTest {
@@ -48,14 +45,10 @@
   }
 
   private int run(String... words) {
-    CommandLine line = Main.line();
-    StringWriter printed = new StringWriter();
-    StringWriter told = new StringWriter();
-    line.setOut(new PrintWriter(printed)).setErr(new PrintWriter(told));
-    int code = line.execute(words);
-    out = printed.toString();
-    err = told.toString();
-    return code;
+    CommandRun run = CommandRun.of(words);
+    out = run.out();
+    err = run.err();
+    return run.code();
   }
 
   private int fleet(String... words) {
--- a/src/test/java/beamspread/cli/LeaseCommandTest.java
+++ b/src/test/java/beamspread/cli/LeaseCommandTest.java
@@ -7,16 +7,11 @@
 import beamspread.record.JdbcLeases;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
-import java.io.PrintWriter;
-import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import picocli.CommandLine;
 
 /** The commands about leases, and the inventory's table of them, as a script sees them. */
 class LeaseCommandTest {
@@ -39,16 +34,10 @@
   }
 
   private int run(String... words) {
-    List<String> all = new ArrayList<>(List.of(words));
-    all.addAll(1, List.of("-i", inventory.toString()));
-    CommandLine line = Main.line();
-    StringWriter printed = new StringWriter();
-    StringWriter told = new StringWriter();
-    line.setOut(new PrintWriter(printed)).setErr(new PrintWriter(told));
-    int code = line.execute(all.toArray(new String[0]));
-    out = printed.toString();
-    err = told.toString();
-    return code;
+    CommandRun run = CommandRun.with(inventory, words);
+    out = run.out();
+    err = run.err();
+    return run.code();
   }
 
   private LeaseStore store() throws Exception {
--- a/src/test/java/beamspread/cli/VariantsCommandTest.java
+++ b/src/test/java/beamspread/cli/VariantsCommandTest.java
@@ -10,16 +10,12 @@
 import beamspread.lease.FencingToken;
 import beamspread.node.variants.VariantFileReader;
 import java.io.IOException;
-import java.io.PrintWriter;
-import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import picocli.CommandLine;
 
 /** The commands about variant keys, as a script sees them. */
 class VariantsCommandTest {
@@ -52,31 +48,14 @@
   }
 
   private int run(String... words) {
-    List<String> all = new ArrayList<>(List.of(words));
-    all.addAll(1, List.of("-i", inventory.toString()));
-    CommandLine line = Main.line();
-    StringWriter printed = new StringWriter();
-    StringWriter told = new StringWriter();
-    line.setOut(new PrintWriter(printed)).setErr(new PrintWriter(told));
-    int code = line.execute(all.toArray(new String[0]));
-    out = printed.toString();
-    err = told.toString();
-    return code;
+    CommandRun run = CommandRun.with(inventory, words);
+    out = run.out();
+    err = run.err();
+    return run.code();
   }
 
   private void publish() throws Exception {
-    WorkLease lease =
-        new WorkLease() {
-          @Override
-          public FencingToken token() {
-            return new FencingToken("variants/main", 5);
-          }
-
-          @Override
-          public boolean held() {
-            return true;
-          }
-        };
+    WorkLease lease = WorkLease.of(new FencingToken("variants/main", 5));
     try (Fleet fleet = scratch.fleet(List.of(agent))) {
       assertThat(new VariantPublisher(fleet, lease, VariantFileReader.read(RULES)).round().taken())
           .isEqualTo(1);
--- a/src/test/java/beamspread/loop/WatchedIoHandlerTest.java
+++ b/src/test/java/beamspread/loop/WatchedIoHandlerTest.java
@@ -3,11 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.IoRegistration;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.util.List;
@@ -30,42 +28,15 @@
   private final AtomicInteger looks = new AtomicInteger();
 
   /** The selector's own handler, counting the looks. */
-  private class Counting implements IoHandler {
-    private final IoHandler inner;
-
+  private class Counting extends ForwardingIoHandler {
     Counting(IoHandler inner) {
-      this.inner = inner;
+      super(inner);
     }
 
     @Override
     public int run(IoHandlerContext context) {
       looks.incrementAndGet();
-      return inner.run(context);
-    }
-
-    @Override
-    public void prepareToDestroy() {
-      inner.prepareToDestroy();
-    }
-
-    @Override
-    public void destroy() {
-      inner.destroy();
-    }
-
-    @Override
-    public IoRegistration register(IoHandle handle) throws Exception {
-      return inner.register(handle);
-    }
-
-    @Override
-    public void wakeup() {
-      inner.wakeup();
-    }
-
-    @Override
-    public boolean isCompatible(Class<? extends IoHandle> type) {
-      return inner.isCompatible(type);
+      return super.run(context);
     }
   }
 
--- a/src/test/java/beamspread/variants/VariantRulesTest.java
+++ b/src/test/java/beamspread/variants/VariantRulesTest.java
@@ -57,9 +57,9 @@
   })
   void aKeyIsAskedForUnderTheFirstClassOfItsSet(String key, String asked) throws Exception {
     VariantKeys keys = keys(byField("page/", 0), "tablet+phone", "watch+desktop");
-    String canonical = keys.canonical(key, "read");
+    String canonical = keys.canonical(0, key, "read");
     assertThat(canonical == null ? key : canonical).isEqualTo(asked);
-    assertThat(keys.canonical(key, "other class")).isNull();
+    assertThat(keys.canonical(0, key, "other class")).isNull();
   }
 
   @ParameterizedTest
@@ -73,7 +73,7 @@
   })
   void theFirstFieldOfTheNameHasTheClass(String key, String asked) throws Exception {
     VariantKeys keys = keys(byName("a/", "device="), "tablet+phone");
-    String canonical = keys.canonical(key, "read");
+    String canonical = keys.canonical(0, key, "read");
     assertThat(canonical == null ? key : canonical).isEqualTo(asked);
   }
 
@@ -187,7 +187,7 @@
   }
 
   private static String canonical(VariantKeys keys, String key) {
-    String canonical = keys.canonical(key, "read");
+    String canonical = keys.canonical(0, key, "read");
     return canonical == null ? key : canonical;
   }
 
