--- a/src/main/java/beamspread/agent/AgentServer.java
+++ b/src/main/java/beamspread/agent/AgentServer.java
@@ -345,6 +345,8 @@
           return core.variantCalls().pull(id, Json.read(text, Api.VariantPull.class));
         }
         switch (path.length == 4 ? path[2] + "/" + path[3] : what) {
+          case "fence":
+            return core.operationCalls().fence(token);
           case "leases":
             return core.operationCalls().lease(Json.read(text, Api.LeaseAsk.class), token);
           case "leases/renew":
--- a/src/main/java/beamspread/agent/Fencing.java
+++ b/src/main/java/beamspread/agent/Fencing.java
@@ -151,6 +151,14 @@
     bySession.remove(session);
   }
 
+  /**
+   * Whether a session may work under an earlier lease than this token's: also where it is not known
+   * what it works under.
+   */
+  boolean mayBeEarlier(String session, FencingToken token) {
+    return bySession.get(session) == null || isEarlier(session, token);
+  }
+
   /** Whether a session works under an earlier lease than this token's, of the same name. */
   boolean isEarlier(String session, FencingToken token) {
     FencingToken its = bySession.get(session);
--- a/src/main/java/beamspread/agent/OperationCalls.java
+++ b/src/main/java/beamspread/agent/OperationCalls.java
@@ -53,6 +53,43 @@
     }
   }
 
+  /**
+   * Takes a later owner's token on before it does anything. What earlier owners have begun here
+   * ends first; what of theirs arrives from now on is refused.
+   */
+  CompletableFuture<Api.LeaseTold> fence(FencingToken token) {
+    return core.fenced(
+        token,
+        () -> {
+          check(token != null, "no " + Api.FENCING_HEADER + " is shown");
+          for (String name : instances.keySet()) {
+            Step step = instances.get(name).holding();
+            if (step != null && mayBeEarlier(name, token)) {
+              throw finishing(name, step);
+            }
+          }
+          return CompletableFuture.completedFuture(new Api.LeaseTold(token.name(), token.epoch()));
+        });
+  }
+
+  /** Whether the step under way on an instance may be an earlier owner's of the same lease. */
+  private boolean mayBeEarlier(String instance, FencingToken token) {
+    InstanceLeases.Lease lease = leases.holder(core.now(), instance);
+    return lease == null || fencing.mayBeEarlier(lease.session(), token);
+  }
+
+  private static Refusal finishing(String instance, Step step) {
+    return new Refusal(
+        409,
+        Api.FINISHING,
+        instance
+            + " has "
+            + step.kind().word()
+            + " "
+            + step.operation()
+            + " under way: it ends first");
+  }
+
   CompletableFuture<Api.LeaseGiven> lease(Api.LeaseAsk ask, FencingToken token) {
     return core.fenced(
         token,
@@ -104,15 +141,7 @@
     for (String name : ask.instances()) {
       Step step = othersStep(name, ask.lease());
       if (step != null) {
-        throw new Refusal(
-            409,
-            Api.FINISHING,
-            name
-                + " has "
-                + step.kind().word()
-                + " "
-                + step.operation()
-                + " under way: it ends first");
+        throw finishing(name, step);
       }
     }
     for (InstanceLeases.Lease lease : leases.conflicts(core.now(), ask.lease(), ask.instances())) {
--- a/src/main/java/beamspread/chaos/Caller.java
+++ b/src/main/java/beamspread/chaos/Caller.java
@@ -34,11 +34,8 @@
   private final Stage stage;
   private final SplittableRandom random;
 
-  /** Whether its operations run under the fleet's lease. */
-  private final boolean leased;
-
-  /** Whether each operation goes by a name of its own, by which its steps are known. */
-  private final boolean named;
+  private final RolloutScene.Operators operators;
+  private final List<String> agents;
 
   private volatile Process process;
   private volatile boolean stop;
@@ -48,27 +45,17 @@
    * An operator.
    *
    * @param agents where it reaches each agent
-   */
-  Caller(String name, Map<String, InetSocketAddress> agents, Stage stage) throws IOException {
-    this(name, agents, stage, 0, false);
-  }
-
-  /**
-   * One that works under the fleet's lease.
-   *
-   * @param leaseSeconds how long a lease lasts; 0 for none
-   * @param named whether each operation goes by a name of its own
+   * @param operators what it works under, and on
    */
   Caller(
       String name,
       Map<String, InetSocketAddress> agents,
       Stage stage,
-      int leaseSeconds,
-      boolean named)
+      RolloutScene.Operators operators)
       throws IOException {
     this.name = name;
-    this.named = named;
-    this.leased = leaseSeconds > 0;
+    this.operators = operators;
+    this.agents = List.copyOf(new TreeMap<>(agents).keySet());
     this.stage = stage;
     this.random = new SplittableRandom(stage.seed() * 37 + name.hashCode());
     this.inventory = stage.folder().resolve(name + ".toml");
@@ -79,14 +66,26 @@
                 toml.append(
                     "[[agent]]\nname = \"%s\"\nurl = \"http://127.0.0.1:%d\"\n"
                         .formatted(agent, at.getPort())));
-    if (leased) {
+    if (leased()) {
       toml.append(
           "[lease]\nduration_s = %d\nfile = \"%s\"\n"
-              .formatted(leaseSeconds, stage.folder().resolve("leases.db")));
+              .formatted(operators.leaseSeconds(), stage.folder().resolve("leases.db")));
     }
     Files.writeString(inventory, toml);
   }
 
+  private boolean leased() {
+    return operators.leaseSeconds() > 0;
+  }
+
+  /** All instances, or those of one agent. */
+  private List<String> selection() {
+    if (operators.parts() && random.nextBoolean()) {
+      return List.of("--agent", agents.get(random.nextInt(agents.size())));
+    }
+    return List.of("--all");
+  }
+
   /** Begins nothing new. */
   void stop() {
     stop = true;
@@ -123,14 +122,16 @@
   /** One operation over all instances; its exit code, -1 if it did not end. */
   int operate(String kind) throws IOException, InterruptedException {
     String operation = name + "/" + ++operations;
-    stage.tell(History.What.ASKED, name, kind + " of all", "operation", operation, "kind", kind);
+    stage.tell(History.What.ASKED, name, kind, "operation", operation, "kind", kind);
     Path out = stage.folder().resolve(name + ".out");
     Path err = stage.folder().resolve(name + ".err");
     List<String> words =
         new ArrayList<>(
             Program.operations(48, "fleet", "-i", inventory.toString(), "-o", "json", kind));
-    words.addAll(List.of("--all", "--by", named ? operation : name));
-    if (leased) {
+    words.addAll(selection());
+    // What an operation's steps are known by at the agents.
+    words.addAll(List.of("--by", operators.judged() ? operation : name));
+    if (leased()) {
       words.add(random.nextInt(4) == 0 ? "--take-over" : "--wait");
     }
     if (kind.equals("restart")) {
@@ -191,7 +192,7 @@
     stage.tell(
         History.What.TOLD,
         name,
-        kind + " of all ended with exit code " + code,
+        kind + " ended with exit code " + code,
         "operation",
         operation,
         "kind",
--- a/src/main/java/beamspread/chaos/LeaseJudge.java
+++ b/src/main/java/beamspread/chaos/LeaseJudge.java
@@ -6,12 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 
 /**
- * What must hold of operators of whom one owns the work at a time: at each agent nothing is begun
- * by an earlier owner once something was begun by a later one. Who is later is told by the tokens
- * of their lease; where they work without one, by whose first step came first, at whatever agent.
+ * What must hold of operators of whom one owns the work at a time: nothing is begun by an earlier
+ * owner, at whatever agent, once something was begun by a later one, at whatever agent. Who is
+ * later is told by the tokens of their lease; where they work without one, by whose first step came
+ * first, at whatever agent.
  */
 final class LeaseJudge {
   /** The fact of an event that tells an operator's operation. */
@@ -31,21 +31,21 @@
   private LeaseJudge() {}
 
   /**
-   * Judges a history whose steps stand in the order in which each agent began them.
+   * Judges a history whose steps stand in the order in which they were begun.
    *
    * @param leased whether the operators work under a lease
    */
   static List<Breach> judge(List<History.Event> events, boolean leased) {
     Map<String, Long> ranks = leased ? tokens(events) : firstSteps(events);
     List<Breach> breaches = new ArrayList<>();
-    Map<String, Long> highest = new TreeMap<>();
+    long highest = 0;
     for (History.Event event : events) {
       String agent = event.text(STEP_AGENT);
       Long rank = agent == null ? null : ranks.get(event.text(STEP_BY));
       if (rank == null) {
         continue;
       }
-      if (rank < highest.getOrDefault(agent, 0L)) {
+      if (rank < highest) {
         breaches.add(
             new Breach(
                 "stale owner",
@@ -53,13 +53,13 @@
                     + (leased ? " under token " : " as owner ")
                     + rank
                     + " after "
-                    + highest.get(agent),
+                    + highest,
                 0,
                 event.atNanos(),
                 Set.of(agent),
                 Map.of()));
       }
-      highest.merge(agent, rank, Math::max);
+      highest = Math.max(highest, rank);
     }
     return breaches;
   }
--- a/src/main/java/beamspread/chaos/RolloutScene.java
+++ b/src/main/java/beamspread/chaos/RolloutScene.java
@@ -39,47 +39,51 @@
 
   private final int agents;
   private final int instances;
-  private final int callers;
-  private final int leaseSeconds;
-  private final boolean judgesOwners;
+  private final Operators operators;
   private final Map<String, InetSocketAddress> listen = new TreeMap<>();
   private final Map<String, Program> programs = new LinkedHashMap<>();
   private final Map<String, Victim> victims = new LinkedHashMap<>();
-  private final Map<String, Caller> operators = new LinkedHashMap<>();
+  private final Map<String, Caller> callers = new LinkedHashMap<>();
   private final List<Thread> threads = new ArrayList<>();
   private InstanceWatch watch;
   private Caller last;
   private Stage stage;
 
   /**
-   * A scene.
+   * Who steers the instances.
    *
-   * @param instances beside each agent
+   * @param count how many compete
+   * @param leaseSeconds how long the fleet's lease lasts under which they work; 0 for none
+   * @param judged whether what an earlier owner does late is judged: without a lease nothing keeps
+   *     it from that but the agents' own leases
+   * @param parts whether some of their operations concern one agent's instances alone
    */
-  public RolloutScene(int agents, int instances, int callers) {
-    this(agents, instances, callers, 0);
-  }
+  public record Operators(int count, int leaseSeconds, boolean judged, boolean parts) {
+    /** Operators without a lease. */
+    public static Operators unleased(int count) {
+      return new Operators(count, 0, false, false);
+    }
 
-  /**
-   * The same with operators that work under the fleet's lease.
-   *
-   * @param leaseSeconds how long it lasts; 0 for no lease
-   */
-  public RolloutScene(int agents, int instances, int callers, int leaseSeconds) {
-    this(agents, instances, callers, leaseSeconds, leaseSeconds > 0);
+    /** The same, but that each operation concerns all instances. */
+    Operators whole() {
+      return new Operators(count, leaseSeconds, judged, false);
+    }
+
+    /** Operators under a lease, some of whose operations concern a part of the fleet. */
+    public static Operators leased(int count, int leaseSeconds) {
+      return new Operators(count, leaseSeconds, true, true);
+    }
   }
 
   /**
-   * The same, said whether what an earlier owner does late is judged: without a lease nothing keeps
-   * it from that but the agents' own leases.
+   * A scene.
+   *
+   * @param instances beside each agent
    */
-  public RolloutScene(
-      int agents, int instances, int callers, int leaseSeconds, boolean judgesOwners) {
-    this.judgesOwners = judgesOwners;
+  public RolloutScene(int agents, int instances, Operators operators) {
     this.agents = agents;
     this.instances = instances;
-    this.callers = callers;
-    this.leaseSeconds = leaseSeconds;
+    this.operators = operators;
   }
 
   private static String agent(int number) {
@@ -93,7 +97,7 @@
   @Override
   public List<Network.Link> links() {
     List<Network.Link> links = new ArrayList<>();
-    for (int c = 0; c < callers; c++) {
+    for (int c = 0; c < operators.count(); c++) {
       for (int a = 0; a < agents; a++) {
         links.add(new Network.Link(caller(c), agent(a)));
       }
@@ -107,7 +111,7 @@
     for (int a = 0; a < agents; a++) {
       names.add(agent(a));
     }
-    for (int c = 0; c < callers; c++) {
+    for (int c = 0; c < operators.count(); c++) {
       names.add(caller(c));
     }
     for (int i = 0; i < agents * instances; i++) {
@@ -129,15 +133,15 @@
       program.awaitReady(READY_SECONDS);
     }
     awaitInstances(journals);
-    last = new Caller("operator", listen, on, leaseSeconds, judgesOwners);
-    for (int c = 0; c < callers; c++) {
+    last = new Caller("operator", listen, on, operators.whole());
+    for (int c = 0; c < operators.count(); c++) {
       String name = caller(c);
       Map<String, InetSocketAddress> at = new TreeMap<>();
       for (var one : listen.entrySet()) {
         at.put(one.getKey(), on.relays().stream(name, one.getKey(), one::getValue));
       }
-      Caller caller = new Caller(name, at, on, leaseSeconds, judgesOwners);
-      operators.put(name, caller);
+      Caller caller = new Caller(name, at, on, operators);
+      callers.put(name, caller);
       victims.put(name, new DrivenVictim(caller::pid));
       thread(name, caller);
     }
@@ -209,7 +213,7 @@
       TimeUnit.MILLISECONDS.sleep(20);
     }
     // What an agent says of them is what operators go by.
-    Caller first = new Caller("first", listen, stage);
+    Caller first = new Caller("first", listen, stage, Operators.unleased(1));
     if (first.operate("reload") != 0) {
       throw new IOException("the agents do not steer their instances");
     }
@@ -229,9 +233,9 @@
 
   @Override
   public void end() throws Exception {
-    operators.values().forEach(Caller::stop);
+    callers.values().forEach(Caller::stop);
     for (Thread thread : threads) {
-      if (operators.containsKey(thread.getName())) {
+      if (callers.containsKey(thread.getName())) {
         thread.join((Caller.LONGEST_SECONDS + 10) * 1000);
       }
     }
@@ -252,7 +256,7 @@
           "unhealed",
           true);
     }
-    if (judgesOwners) {
+    if (operators.judged()) {
       tellSteps();
     }
     // The watch sees the last change within some milliseconds.
@@ -260,42 +264,50 @@
     watch.stop();
   }
 
-  /** Tells what each agent has on record of steps, in the order in which they were begun. */
+  /** A step that an agent has on record. */
+  private record Step(String agent, long beganMs, String by, String what) {}
+
+  /** Tells what all agents have on record of steps, in the order in which they were begun. */
   private void tellSteps() throws Exception {
-    HttpClient http = HttpClient.newHttpClient();
+    List<Step> steps = new ArrayList<>();
     for (var one : listen.entrySet()) {
-      URI uri = URI.create("http://127.0.0.1:" + one.getValue().getPort() + OPERATIONS);
-      String text =
-          http.send(HttpRequest.newBuilder(uri).build(), HttpResponse.BodyHandlers.ofString())
-              .body();
-      record Step(long beganMs, String by, String what) {}
-      List<Step> steps = new ArrayList<>();
-      for (Api.OperationView view : Json.read(text, Api.Operations.class).operations()) {
-        for (Api.StepView step : view.steps()) {
-          String what = step.kind().word() + " of " + step.instance() + " by " + view.by();
-          steps.add(new Step(step.beganMs(), view.by(), what));
-        }
-      }
-      steps.sort(Comparator.comparingLong(Step::beganMs));
-      for (Step step : steps) {
-        stage.tell(
-            History.What.SEEN,
-            one.getKey(),
-            step.what(),
-            LeaseJudge.STEP_AGENT,
-            one.getKey(),
-            LeaseJudge.STEP_BY,
-            step.by(),
-            LeaseJudge.STEP_BEGAN,
-            step.beganMs());
+      steps.addAll(steps(one.getKey(), one.getValue()));
+    }
+    // Agents run on one machine: its clock says what came first.
+    steps.sort(Comparator.comparingLong(Step::beganMs));
+    for (Step step : steps) {
+      stage.tell(
+          History.What.SEEN,
+          step.agent(),
+          step.what(),
+          LeaseJudge.STEP_AGENT,
+          step.agent(),
+          LeaseJudge.STEP_BY,
+          step.by(),
+          LeaseJudge.STEP_BEGAN,
+          step.beganMs());
+    }
+  }
+
+  private static List<Step> steps(String agent, InetSocketAddress at) throws Exception {
+    URI uri = URI.create("http://127.0.0.1:" + at.getPort() + OPERATIONS);
+    HttpRequest request = HttpRequest.newBuilder(uri).build();
+    String text =
+        HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.ofString()).body();
+    List<Step> steps = new ArrayList<>();
+    for (Api.OperationView view : Json.read(text, Api.Operations.class).operations()) {
+      for (Api.StepView step : view.steps()) {
+        String what = step.kind().word() + " of " + step.instance() + " by " + view.by();
+        steps.add(new Step(agent, step.beganMs(), view.by(), what));
       }
     }
+    return steps;
   }
 
   @Override
   public List<Breach> judge(List<History.Event> events) {
     List<Breach> breaches = new ArrayList<>(RolloutJudge.judge(MOST_OUT, events));
-    breaches.addAll(LeaseJudge.judge(events, leaseSeconds > 0));
+    breaches.addAll(LeaseJudge.judge(events, operators.leaseSeconds() > 0));
     for (History.Event event : events) {
       if (event.facts().containsKey("unhealed")) {
         breaches.add(
@@ -313,8 +325,8 @@
 
   @Override
   public void clear() throws Exception {
-    operators.values().forEach(Caller::stop);
-    for (Caller caller : operators.values()) {
+    callers.values().forEach(Caller::stop);
+    for (Caller caller : callers.values()) {
       caller.kill();
     }
     for (Program program : programs.values()) {
--- a/src/main/java/beamspread/chaos/ScheduleFile.java
+++ b/src/main/java/beamspread/chaos/ScheduleFile.java
@@ -100,13 +100,16 @@
         return () -> new StoreScene(writers);
       }
       case "rollout" -> {
-        table.only(Set.of("agents", "instances", "callers", "lease_s", "judge_owners"));
+        table.only(Set.of("agents", "instances", "callers", "lease_s", "judge_owners", "parts"));
         int agents = table.number("agents", 2, 1, MOST_PROCESSES);
         int instances = table.number("instances", 3, 1, MOST_PROCESSES);
         int callers = table.number("callers", 2, 1, 16);
         int lease = table.number("lease_s", 0, 0, 3600);
         boolean judged = table.flag("judge_owners", lease > 0);
-        return () -> new RolloutScene(agents, instances, callers, lease, judged);
+        boolean parts = table.flag("parts", judged);
+        RolloutScene.Operators operators =
+            new RolloutScene.Operators(callers, lease, judged, parts);
+        return () -> new RolloutScene(agents, instances, operators);
       }
       case "nodes" -> {
         table.only(Set.of("nodes", "servers", "rate", "tier"));
--- a/src/main/java/beamspread/cli/ActionCommand.java
+++ b/src/main/java/beamspread/cli/ActionCommand.java
@@ -123,6 +123,7 @@
         this,
         fleet,
         by(by),
+        away,
         held -> {
           var progress = ReportPrinter.progress(err(), targets.size());
           Report report =
--- a/src/main/java/beamspread/cli/ResumeCommand.java
+++ b/src/main/java/beamspread/cli/ResumeCommand.java
@@ -32,7 +32,7 @@
   /** What is left is read only once nobody else can change it. */
   @Override
   int run(Fleet fleet) throws Exception {
-    return lease.under(this, fleet, ActionCommand.by(by), held -> resume(fleet, held));
+    return lease.under(this, fleet, ActionCommand.by(by), away, held -> resume(fleet, held));
   }
 
   private int resume(Fleet fleet, WorkLease held) throws Exception {
--- a/src/main/java/beamspread/fleet/AgentClient.java
+++ b/src/main/java/beamspread/fleet/AgentClient.java
@@ -19,6 +19,7 @@
 import java.security.cert.CertificateFactory;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Executor;
 import javax.net.ssl.SSLContext;
 import javax.net.ssl.TrustManagerFactory;
@@ -125,6 +126,16 @@
     return get("operations?most=" + most, Api.Operations.class, Duration.ZERO).operations();
   }
 
+  /**
+   * Shows the agent the token that {@link #fence} set, before anything is done under it.
+   *
+   * @throws AgentCallException also while a step of an earlier owner's is under way there: {@link
+   *     Api#FINISHING}
+   */
+  public Api.LeaseTold announce() throws AgentCallException {
+    return post("fence", Map.of(), Api.LeaseTold.class);
+  }
+
   /** Takes leases. */
   public Api.LeaseGiven lease(Api.LeaseAsk ask) throws AgentCallException {
     return post("leases", ask, Api.LeaseGiven.class);
--- a/src/main/java/beamspread/fleet/RolloutRunner.java
+++ b/src/main/java/beamspread/fleet/RolloutRunner.java
@@ -28,8 +28,6 @@
   /** Said of instances that were not begun, since the lease was lost. */
   static final String LOST = "not begun: the lease that this runs under is lost";
 
-  private static final long AGAIN_MILLIS = 100;
-
   /**
    * How the runner goes about it.
    *
@@ -151,6 +149,7 @@
       Rollout rollout,
       Map<Target, Result> results) {
     for (var entry : byAgent.entrySet()) {
+      EarlierSteps earlier = new EarlierSteps(workLease, limits.stepMs());
       AgentClient client = fleet.clients().get(entry.getKey());
       List<Target> targets = entry.getValue();
       try {
@@ -159,16 +158,18 @@
               "agent " + entry.getKey() + " is not in the inventory", false, null);
         }
         Api.LeaseGiven given =
-            lease(
+            earlier.await(
                 client,
-                new Api.LeaseAsk(
-                    session,
-                    operation,
-                    plan.kind(),
-                    by,
-                    targets.stream().map(Target::instance).toList(),
-                    limits.ttlMs(),
-                    Json.tree(whole)));
+                agent ->
+                    agent.lease(
+                        new Api.LeaseAsk(
+                            session,
+                            operation,
+                            plan.kind(),
+                            by,
+                            targets.stream().map(Target::instance).toList(),
+                            limits.ttlMs(),
+                            Json.tree(whole))));
         leased.add(entry.getKey());
         targets.forEach(target -> tokens.put(target, given.tokens().get(target.instance())));
       } catch (AgentCallException e) {
@@ -191,27 +192,6 @@
     return true;
   }
 
-  /** Takes an agent's leases; waits for steps that an earlier owner has under way there. */
-  private Api.LeaseGiven lease(AgentClient client, Api.LeaseAsk ask) throws AgentCallException {
-    long giveUpAt = System.nanoTime() + limits.stepMs() * 1_000_000;
-    while (true) {
-      try {
-        return client.lease(ask);
-      } catch (AgentCallException e) {
-        boolean waits = e.is(Api.FINISHING) && workLease.held() && System.nanoTime() < giveUpAt;
-        if (!waits) {
-          throw e;
-        }
-      }
-      try {
-        TimeUnit.MILLISECONDS.sleep(AGAIN_MILLIS);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        throw new AgentCallException("interrupted", false, null);
-      }
-    }
-  }
-
   private void refuseAll(RolloutPlan plan, Map<Target, Result> results, AgentCallException e) {
     Map<String, Api.Holder> holders = new HashMap<>();
     e.problem().holders().forEach(holder -> holders.put(holder.instance(), holder));
--- a/src/main/java/beamspread/fleet/api/Api.java
+++ b/src/main/java/beamspread/fleet/api/Api.java
@@ -139,6 +139,9 @@
       long ttlMs,
       JsonNode plan) {}
 
+  /** A lease that an agent was told of: it refuses lower epochs from now on. */
+  public record LeaseTold(String name, long epoch) {}
+
   /** The leases that were given: a token for each instance. */
   public record LeaseGiven(long ttlMs, Map<String, Long> tokens) {}
 
--- a/src/test/java/beamspread/agent/OwnersTest.java
+++ b/src/test/java/beamspread/agent/OwnersTest.java
@@ -4,7 +4,10 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import beamspread.chaos.Program;
+import beamspread.fleet.AgentCallException;
+import beamspread.fleet.AgentClient;
 import beamspread.fleet.Fleet;
+import beamspread.fleet.FleetFence;
 import beamspread.fleet.LeaseKeeper;
 import beamspread.fleet.Report;
 import beamspread.fleet.Result;
@@ -13,6 +16,8 @@
 import beamspread.fleet.RolloutRunner;
 import beamspread.fleet.Selection;
 import beamspread.fleet.Target;
+import beamspread.fleet.WorkLease;
+import beamspread.fleet.api.Api;
 import beamspread.fleet.api.Kind;
 import beamspread.fleet.api.Outcome;
 import beamspread.lease.FencingToken;
@@ -20,6 +25,8 @@
 import beamspread.lease.LeaseStore;
 import beamspread.record.JdbcLeases;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -86,11 +93,10 @@
   /** How often each instance has taken a file since its start, by its own word. */
   private Map<String, Long> hups() {
     Map<String, Long> hups = new HashMap<>();
-    for (AgentRig rig : rigs) {
+    for (AgentRig rig : rigs.subList(0, 2)) {
       for (int i = 0; i < INSTANCES / 2; i++) {
         String name = rig.name + "n" + i;
-        hups.put(
-            name, rig.saw(name).stream().filter(line -> line.contains(" hup accepted ")).count());
+        hups.put(name, reloads(rig, name));
       }
     }
     return hups;
@@ -101,7 +107,7 @@
   }
 
   @ParameterizedTest
-  @ValueSource(ints = {1, 3, INSTANCES - 1})
+  @ValueSource(ints = {1, 2, 3, 4, INSTANCES - 1})
   void anOwnerWhoseLeaseWasTakenStopsAtItsNextStep(int done) throws Exception {
     CountDownLatch first = new CountDownLatch(done);
     CountDownLatch taken = new CountDownLatch(1);
@@ -159,6 +165,80 @@
     }
   }
 
+  /** An agent whose only instance takes so long for each reload. */
+  private AgentRig slowAgent(long millis) throws Exception {
+    AgentRig slow = new AgentRig(folder, "slow").instance("slow0", "slow-hup=" + millis);
+    slow.append("reload_s = 30\n");
+    rigs.add(slow);
+    return slow.startAndWait();
+  }
+
+  /** Whether an agent has a step of an operation on record that has not ended. */
+  private static boolean underWay(AgentRig rig, String operation) {
+    try (Fleet fleet = AgentRig.fleet(List.of(rig))) {
+      return rig.client(fleet).operation(operation, 0, 0).steps().stream()
+          .anyMatch(step -> step.outcome() == null);
+    } catch (AgentCallException e) {
+      // Not on record yet.
+      return false;
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private static long reloads(AgentRig rig, String instance) {
+    return rig.saw(instance).stream().filter(line -> line.contains(" hup accepted ")).count();
+  }
+
+  @Test
+  void aNewOwnerBeginsNothingWhileAStepOfTheEarlierOneIsUnderWayElsewhere() throws Exception {
+    AgentRig slow = slowAgent(1000);
+    LeaseKeeper anna = own("anna", LeaseKeeper.Otherwise.REFUSE);
+    Thread runs =
+        new Thread(
+            () -> {
+              try (Fleet fleet = AgentRig.fleet(List.of(slow))) {
+                reload(fleet, "anna", anna, result -> {});
+              } catch (Exception e) {
+                throw new AssertionError(e);
+              }
+            });
+    runs.start();
+    AgentRig.await("its step is under way", () -> underWay(slow, "op-anna"));
+    try (LeaseKeeper bela = own("bela", LeaseKeeper.Otherwise.TAKE_OVER);
+        Fleet fleet = AgentRig.fleet(rigs)) {
+      assertThat(new FleetFence(fleet, bela, 30_000).raise().failures()).isEmpty();
+      assertThat(underWay(slow, "op-anna")).isFalse();
+      assertThat(reloads(slow, "slow0")).isEqualTo(1);
+    }
+    runs.join(30_000);
+    anna.close();
+  }
+
+  @Test
+  void aCallOfAnEarlierOwnerIsRefusedAlsoWhereTheNewOneDoesNotWork() throws Exception {
+    AgentRig there = rigs.get(0);
+    try (Fleet late = AgentRig.fleet(List.of(there));
+        Fleet fleet = AgentRig.fleet(rigs)) {
+      AgentClient client = there.client(late);
+      client.fence(new FencingToken(NAME, 1));
+      Api.LeaseGiven given =
+          client.lease(
+              new Api.LeaseAsk(
+                  "session", "op-anna", Kind.RELOAD, "anna", List.of("a0n0"), 60_000, null));
+      WorkLease bela = WorkLease.of(new FencingToken(NAME, 2));
+      assertThat(new FleetFence(fleet, bela, 1000).raise().failures()).isEmpty();
+      Api.StepAsk step = new Api.StepAsk("a0n0", given.tokens().get("a0n0"), 1);
+      assertThatThrownBy(
+              () -> client.steps(new Api.StepsAsk("op-anna", Kind.RELOAD, List.of(step))))
+          .isInstanceOfSatisfying(
+              AgentCallException.class, e -> assertThat(e.is(Api.STALE_TOKEN)).isTrue());
+      assertThat(new FleetFence(late, WorkLease.of(new FencingToken(NAME, 1)), 1000).raise())
+          .satisfies(told -> assertThat(told.failures().get("a0").is(Api.STALE_TOKEN)).isTrue());
+    }
+    assertThat(all(hups())).isZero();
+  }
+
   @Test
   void anOwnerThatCannotReachTheStoreStopsBeforeItsLeaseCanHaveExpired() throws Exception {
     LeaseKeeper anna = own("anna", LeaseKeeper.Otherwise.REFUSE);
@@ -204,6 +284,49 @@
     new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
   }
 
+  /** An owner is suspended while its last step is under way, and another resumes its rollout. */
+  @Test
+  void aResumedRolloutDoesNotRepeatWhatAnEarlierOwnerHadUnderWay() throws Exception {
+    AgentRig slow = slowAgent(8000);
+    String toml = inventory().toString();
+    Process suspended = command("fleet", "-i", toml, "reload", "--all", "--batch", "1");
+    AgentRig.await("it has leases", () -> slow.view("slow0").held() != null);
+    String operation = slow.view("slow0").held().operation();
+    AgentRig.await("its last step is under way", () -> underWay(slow, operation));
+    signal(suspended, "STOP");
+    Process next = command("fleet", "-i", toml, "resume", operation, "--take-over");
+    assertThat(next.waitFor(90, TimeUnit.SECONDS)).isTrue();
+    assertThat(next.exitValue()).as(said(1)).isZero();
+    signal(suspended, "CONT");
+    assertThat(suspended.waitFor(60, TimeUnit.SECONDS)).isTrue();
+    assertThat(hups().values()).as("each once").containsOnly(1L);
+    assertThat(reloads(slow, "slow0")).as("once").isEqualTo(1);
+  }
+
+  /** The part of the fleet that is worked on answers; an agent elsewhere does not. */
+  @Test
+  void nothingBeginsWhileAnAgentHasNotHeardOfTheNewOwner() throws Exception {
+    int closed;
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      closed = socket.getLocalPort();
+    }
+    String away = "[[agent]]\nname = \"away\"\nurl = \"http://127.0.0.1:" + closed + "\"\n";
+    Path toml = inventory();
+    Files.writeString(toml, away + Files.readString(toml));
+    String[] reload = {"fleet", "-i", toml.toString(), "reload", "--agent", "a0"};
+    Process refused = command(reload);
+    assertThat(refused.waitFor(60, TimeUnit.SECONDS)).isTrue();
+    assertThat(refused.exitValue()).as(said(0)).isEqualTo(3);
+    assertThat(said(0)).contains("agent away cannot be reached", "have not heard who owns");
+    assertThat(all(hups())).isZero();
+    String[] allowed = java.util.Arrays.copyOf(reload, reload.length + 1);
+    allowed[reload.length] = "--allow-unreachable";
+    Process goesOn = command(allowed);
+    assertThat(goesOn.waitFor(60, TimeUnit.SECONDS)).isTrue();
+    assertThat(goesOn.exitValue()).as(said(1)).isZero();
+    assertThat(all(hups())).isEqualTo(INSTANCES / 2);
+  }
+
   /**
    * Three processes: one is suspended in the middle, one waits and does the work, one only asks.
    */
@@ -211,7 +334,9 @@
   void aSuspendedProcessThatWakesAfterAnotherHasDoneTheWorkDoesNothingMore() throws Exception {
     String toml = inventory().toString();
     String[] reload = {"fleet", "-i", toml, "reload", "--all", "--batch", "1", "--pause", "0.4"};
-    Process suspended = command(reload);
+    String[] slowly = reload.clone();
+    slowly[slowly.length - 1] = "5";
+    Process suspended = command(slowly);
     AgentRig.await("it has begun", () -> all(hups()) > 0);
     Process refused = command(reload);
     assertThat(refused.waitFor(60, TimeUnit.SECONDS)).isTrue();
--- a/src/test/java/beamspread/chaos/JudgesTest.java
+++ b/src/test/java/beamspread/chaos/JudgesTest.java
@@ -234,24 +234,27 @@
   }
 
   @Test
-  void aStepOfAStaleOwnerIsFoundAtTheAgentWhereItWasBegun() {
+  void aStepOfAStaleOwnerIsFoundAlsoAtAnAgentWhereTheLaterOneDidNothing() {
     owns("a/1", 1);
     owns("b/1", 2);
     step("agent-1", "a/1");
-    step("agent-1", "b/1");
     step("agent-2", "a/1");
     step("agent-2", "unleased");
+    step("agent-1", "b/1");
+    step("agent-2", "unleased");
     assertThat(LeaseJudge.judge(history.events(), true)).isEmpty();
-    step("agent-1", "a/1");
+    step("agent-2", "a/1");
     assertThat(LeaseJudge.judge(history.events(), true))
         .extracting(Breach::invariant)
         .containsExactly("stale owner");
+    step("agent-1", "a/1");
+    assertThat(LeaseJudge.judge(history.events(), true)).hasSize(2);
   }
 
   @Test
   void withoutALeaseWhoBeganFirstIsTheEarlierOwner() {
-    step("agent-1", "b/1", 30);
     step("agent-2", "a/1", 10);
+    step("agent-1", "b/1", 30);
     step("agent-2", "b/1", 40);
     assertThat(LeaseJudge.judge(history.events(), false)).isEmpty();
     step("agent-1", "a/1", 50);
--- a/src/test/java/beamspread/chaos/ScenesTest.java
+++ b/src/test/java/beamspread/chaos/ScenesTest.java
@@ -104,7 +104,7 @@
     Run.Outcome outcome =
         play(
             "rollout",
-            new RolloutScene(2, 2, 2),
+            new RolloutScene(2, 2, RolloutScene.Operators.unleased(2)),
             0,
             link(Fault.Kind.CUT, 0.6, 1.6, "caller-1", "agent-*"),
             link(Fault.Kind.ONE_WAY, 2.4, 0.8, "agent-1", "caller-2"),
@@ -120,7 +120,7 @@
     Run.Outcome outcome =
         play(
             "lease",
-            new RolloutScene(2, 2, 3, 1),
+            new RolloutScene(2, 2, RolloutScene.Operators.leased(3, 1)),
             0,
             process(Fault.Kind.PAUSE, 1.0, 3.5, "caller-1"),
             link(Fault.Kind.DELAY, 0.5, 5, "caller-2", "agent-*"),
--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -82,11 +82,22 @@
     final List<Socket> connections = new CopyOnWriteArrayList<>();
 
     /** Where each line came from. */
-    private final List<Socket> sources = new CopyOnWriteArrayList<>();
+    private final List<Source> sources = new CopyOnWriteArrayList<>();
 
     volatile Function<String, String> script;
     private volatile ServerSocket listener;
 
+    /**
+     * A connection, and what is held while something is written on it. That is not the socket
+     * itself: its close waits for its monitor, and so would wait for a peer that does not read.
+     */
+    private record Source(Socket socket, Object writing) {
+      void write(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+      }
+    }
+
     Server(Function<String, String> script) throws IOException {
       this.script = script;
       listen(0);
@@ -112,23 +123,23 @@
 
     /** Sends text on the connection on which the line of this number came. */
     void send(int line, String text) throws IOException {
-      Socket to = sources.get(line);
-      synchronized (to) {
-        to.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      Source to = sources.get(line);
+      synchronized (to.writing) {
+        to.write(text);
       }
     }
 
     /** Ends the connection on which this line came, which must be the only such line. */
     void breakOne(String line) throws IOException {
-      sources.get(lines.indexOf(line)).close();
+      sources.get(lines.indexOf(line)).socket.close();
     }
 
     /** Ends the connection on which the line of this number came, in order or with a reset. */
     void end(int line, boolean reset) throws IOException {
       if (reset) {
-        sources.get(line).setSoLinger(true, 0);
+        sources.get(line).socket.setSoLinger(true, 0);
       }
-      sources.get(line).close();
+      sources.get(line).socket.close();
     }
 
     /** Refuses new connections and keeps those it has. */
@@ -182,6 +193,7 @@
     }
 
     private void serve(Socket socket) throws IOException {
+      Source source = new Source(socket, new Object());
       try (socket) {
         InputStream in = new BufferedInputStream(socket.getInputStream());
         for (String line = line(in); line != null; line = line(in)) {
@@ -189,15 +201,14 @@
             in.readNBytes(Integer.parseInt(line.split(" ")[2]) + 2);
           }
           // Whoever sees the line and sends on its connection comes behind the script's answer.
-          synchronized (socket) {
+          synchronized (source.writing) {
             synchronized (this) {
-              sources.add(socket);
+              sources.add(source);
               lines.add(line);
             }
             String answer = script.apply(line);
             if (answer != null) {
-              socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
-              socket.getOutputStream().flush();
+              source.write(answer);
             }
           }
         }
--- /dev/null
+++ b/src/test/java/beamspread/node/PeersTest.java
@@ -0,0 +1,24 @@
+package beamspread.node;
+
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+/** The stand-ins of the node's tests. */
+class PeersTest {
+  /** More than the buffers of two sockets on loopback hold. */
+  private static final int UNREAD_CHARACTERS = 64 << 20;
+
+  @Test
+  void aServerClosesWhileItWritesToAClientThatDoesNotRead() throws Exception {
+    String answer = "x".repeat(UNREAD_CHARACTERS);
+    Peers.Server server = new Peers.Server(line -> answer);
+    try (Peers.Client client = new Peers.Client(server.address(), 1 << 12)) {
+      client.send("mn\r\n");
+      Peers.await("the answer is being written", () -> server.lines.size() == 1);
+      client.bytes(1);
+      assertTimeoutPreemptively(Duration.ofSeconds(20), server::close);
+    }
+  }
+}
