Variant keys: families split by hand until allowed; owners send a table's text once a version

Change: agents keep on the disk what operators split, and tell the owner, which leaves it out while any agent says so. 'variants split' and 'allow', KEPT in the status, the reason in 'explain'. Owners read agents without the text and renew by the digest. 'measure variant-table' counts bytes on the wire and a table's memory. FencingFile's durable write serves both files. Node code is unchanged.

--- a/src/main/java/beamspread/agent/AgentCore.java
+++ b/src/main/java/beamspread/agent/AgentCore.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -66,7 +67,7 @@
   private final ScheduledThreadPoolExecutor thread;
   private final ExecutorService workers;
 
-  /** Writes fencing tokens, one after the other. */
+  /** Writes what has to be on the disk before a call is answered, one after the other. */
   private final ExecutorService disk;
 
   private String trouble;
@@ -91,13 +92,14 @@
     this.leases = new InstanceLeases(starts << 32);
     this.fencing = new Fencing(new FencingFile(config.folder().resolve("fencing-tokens.json")));
     this.views = new OperationViews(keeper, config.name(), this::heldBack);
-    this.variantCalls = new VariantCalls(this);
+    this.variantCalls =
+        new VariantCalls(this, new KeptSplits(config.folder().resolve("variant-splits.json")));
     this.operationCalls = new OperationCalls(this, instances, leases, fencing, keeper, views);
     this.events = new EventLog(config.name());
     this.thread = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "agent"));
     this.thread.setRemoveOnCancelPolicy(true);
     this.workers = Executors.newFixedThreadPool(WORKERS, task -> new Thread(task, "agent-work"));
-    this.disk = Executors.newSingleThreadExecutor(task -> new Thread(task, "agent-tokens"));
+    this.disk = Executors.newSingleThreadExecutor(task -> new Thread(task, "agent-disk"));
     for (AgentConfig.Instance instance : config.instances()) {
       instances.put(instance.name(), new Managed(this, instance, config.folder()));
     }
@@ -387,6 +389,11 @@
         });
   }
 
+  /** Writes on the disk, one thing after the other. */
+  Executor disk() {
+    return disk;
+  }
+
   /** The calls about tables of variants. */
   VariantCalls variantCalls() {
     return variantCalls;
--- a/src/main/java/beamspread/agent/AgentServer.java
+++ b/src/main/java/beamspread/agent/AgentServer.java
@@ -313,7 +313,7 @@
           case "agent":
             return core.agent();
           case "variants/*":
-            return core.variantCalls().view(id);
+            return core.variantCalls().view(id, number(uri, "text", 1) != 0);
           case "instances":
             return core.instances();
           case "instances/*":
@@ -338,11 +338,16 @@
         }
         FencingToken token = fencingToken();
         String text = body.toString(StandardCharsets.UTF_8);
-        if (what.equals("variants/*")) {
-          return core.variantCalls().offer(id, Json.read(text, Api.VariantOffer.class), token);
-        }
-        if (what.equals("variants/*/pull")) {
-          return core.variantCalls().pull(id, Json.read(text, Api.VariantPull.class));
+        switch (what) {
+          case "variants/*":
+            return core.variantCalls().offer(id, Json.read(text, Api.VariantOffer.class), token);
+          case "variants/*/pull":
+            return core.variantCalls().pull(id, Json.read(text, Api.VariantPull.class));
+          case "variants/*/split":
+            return core.variantCalls().split(id, Json.read(text, Api.VariantFamily.class));
+          case "variants/*/allow":
+            return core.variantCalls().allow(id, Json.read(text, Api.VariantFamily.class));
+          default:
         }
         switch (path.length == 4 ? path[2] + "/" + path[3] : what) {
           case "fence":
--- a/src/main/java/beamspread/agent/FencingFile.java
+++ b/src/main/java/beamspread/agent/FencingFile.java
@@ -4,13 +4,8 @@
 import beamspread.lease.FencingTokens;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -55,24 +50,6 @@
 
   /** Writes all tokens. */
   void write(Map<String, Long> tokens) throws IOException {
-    Path next = file.resolveSibling(file.getFileName() + ".new");
-    ByteBuffer text =
-        ByteBuffer.wrap((Json.text(new TreeMap<>(tokens)) + "\n").getBytes(StandardCharsets.UTF_8));
-    try (FileChannel channel =
-        FileChannel.open(
-            next,
-            StandardOpenOption.CREATE,
-            StandardOpenOption.TRUNCATE_EXISTING,
-            StandardOpenOption.WRITE)) {
-      while (text.hasRemaining()) {
-        channel.write(text);
-      }
-      channel.force(true);
-    }
-    Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-    try (FileChannel folder = FileChannel.open(file.toAbsolutePath().getParent())) {
-      // The new name, too, survives a loss of power.
-      folder.force(true);
-    }
+    DurableFile.write(file, Json.text(new TreeMap<>(tokens)) + "\n");
   }
 }
--- a/src/main/java/beamspread/agent/VariantCalls.java
+++ b/src/main/java/beamspread/agent/VariantCalls.java
@@ -7,6 +7,7 @@
 import beamspread.variants.VariantException;
 import beamspread.variants.VariantTable;
 import beamspread.variants.VariantVersion;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -14,13 +15,17 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The calls about tables of variants: owners offer them under the token of their lease, nodes ask
  * for them. Each runs on the agent's thread. Tables are kept in memory alone: after a start there
- * is none until an owner comes.
+ * is none until an owner comes. Which families operators keep split is on the disk.
  */
 final class VariantCalls {
+  private static final Logger LOG = LoggerFactory.getLogger("agent");
+
   /** Fleets whose tables an agent holds. */
   private static final int MOST_FLEETS = 16;
 
@@ -31,11 +36,15 @@
   private static final int LONGEST_NAME = 100;
   private static final int MOST_FAMILIES = 1024;
 
+  private static final int LONGEST_FAMILY = 200;
+
   private final AgentCore core;
+  private final KeptSplits kept;
   private final Map<String, VariantDesk> desks = new TreeMap<>();
 
-  VariantCalls(AgentCore core) {
+  VariantCalls(AgentCore core, KeptSplits kept) {
     this.core = core;
+    this.kept = kept;
   }
 
   private static void check(boolean holds, int status, String error, String message)
@@ -55,12 +64,16 @@
     return desks.computeIfAbsent(fleet, VariantDesk::new);
   }
 
-  /** The table here, and what the nodes say. */
-  CompletableFuture<Api.VariantView> view(String fleet) {
-    return core.call(() -> CompletableFuture.completedFuture(seen(fleet)));
+  /**
+   * The table here, and what the nodes say.
+   *
+   * @param withText whether the table's text is wanted as well
+   */
+  CompletableFuture<Api.VariantView> view(String fleet, boolean withText) {
+    return core.call(() -> CompletableFuture.completedFuture(seen(fleet, withText)));
   }
 
-  private Api.VariantView seen(String fleet) throws Refusal {
+  private Api.VariantView seen(String fleet, boolean withText) throws Refusal {
     VariantDesk desk = desk(fleet);
     long now = core.now();
     VariantTable table = desk.held().inForce(now);
@@ -82,8 +95,9 @@
         desk.held().highest().toString(),
         desk.held().leftNanos(now) / 1_000_000,
         table == null ? null : table.digest(),
-        table == null ? null : table.text(),
+        table == null || !withText ? null : table.text(),
         List.copyOf(split),
+        kept.families(fleet).stream().sorted().toList(),
         nodes);
   }
 
@@ -103,9 +117,12 @@
               400,
               "bad_request",
               "a table is offered under the lease variants/" + fleet);
+          check(kept.trouble() == null, 503, "splits_damaged", kept.trouble());
           VariantDesk desk = desk(fleet);
           HeldTable.Taken taken =
-              desk.offer(core.now(), table(offer, token), readAt(offer), holdNanos(offer));
+              offer.text() == null
+                  ? renew(desk, offer, token)
+                  : desk.offer(core.now(), table(offer, token), readAt(offer), holdNanos(offer));
           check(
               taken == HeldTable.Taken.NEW || taken == HeldTable.Taken.RENEWED,
               409,
@@ -115,10 +132,23 @@
                   + "): "
                   + desk.held().highest()
                   + " was seen");
-          return CompletableFuture.completedFuture(seen(fleet));
+          return CompletableFuture.completedFuture(seen(fleet, false));
         });
   }
 
+  private HeldTable.Taken renew(VariantDesk desk, Api.VariantOffer offer, FencingToken token)
+      throws Refusal {
+    VariantTable table = desk.held().inForce(core.now());
+    check(
+        table != null
+            && table.version().token() == token.epoch()
+            && table.digest().equals(offer.digest()),
+        409,
+        "table_unknown",
+        "no table of this digest is held here: it has to be offered whole");
+    return desk.renew(core.now(), table.version(), readAt(offer), holdNanos(offer));
+  }
+
   private static VariantTable table(Api.VariantOffer offer, FencingToken token) throws Refusal {
     try {
       check(
@@ -159,6 +189,66 @@
     }
   }
 
+  /** Operators keep a family split: the owner's next table leaves it out. */
+  CompletableFuture<Api.VariantView> split(String fleet, Api.VariantFamily asked) {
+    return core.call(() -> keep(fleet, asked.family(), true));
+  }
+
+  /** Operators allow a family again, as far as this agent is concerned. */
+  CompletableFuture<Api.VariantView> allow(String fleet, Api.VariantFamily asked) {
+    return core.call(() -> keep(fleet, asked.family(), false));
+  }
+
+  private CompletableFuture<Api.VariantView> keep(String fleet, String family, boolean split)
+      throws Refusal {
+    desk(fleet);
+    check(kept.trouble() == null, 503, "splits_damaged", kept.trouble());
+    check(
+        family != null
+            && !family.isEmpty()
+            && family.length() <= LONGEST_FAMILY
+            && family.chars().allMatch(letter -> letter > ' ' && letter < 0x7F),
+        400,
+        "bad_request",
+        "family must have 1 to " + LONGEST_FAMILY + " visible letters");
+    check(
+        !split || kept.families(fleet).size() < KeptSplits.MOST_FAMILIES,
+        503,
+        "full",
+        KeptSplits.MOST_FAMILIES + " families are kept split here");
+    boolean changed = kept.set(fleet, family, split);
+    String text = kept.text();
+    CompletableFuture<Api.VariantView> answer = new CompletableFuture<>();
+    core.disk().execute(() -> write(text, fleet, answer));
+    if (changed) {
+      LOG.atInfo()
+          .addKeyValue("fleet", fleet)
+          .addKeyValue("family", family)
+          .log(split ? "kept split by operators" : "allowed by operators");
+    }
+    return answer;
+  }
+
+  /** On the disk before it is answered; what can't be written holds until a restart. */
+  private void write(String text, String fleet, CompletableFuture<Api.VariantView> answer) {
+    try {
+      kept.write(text);
+      core.execute(
+          () -> {
+            try {
+              answer.complete(seen(fleet, true));
+            } catch (Refusal e) {
+              answer.completeExceptionally(e);
+            }
+          });
+    } catch (IOException e) {
+      core.execute(
+          () ->
+              answer.completeExceptionally(
+                  new Refusal(503, "record", "it could not be written down: " + e)));
+    }
+  }
+
   /** A node asks for the table. */
   CompletableFuture<Api.VariantTold> pull(String fleet, Api.VariantPull pull) {
     return core.call(
--- a/src/main/java/beamspread/cli/MeasureCommand.java
+++ b/src/main/java/beamspread/cli/MeasureCommand.java
@@ -20,7 +20,8 @@
       MeasureStore.class,
       MeasureTier.class,
       MeasureLease.class,
-      MeasureVariants.class
+      MeasureVariants.class,
+      MeasureVariantTable.class
     })
 final class MeasureCommand implements Runnable {
   @CommandLine.Spec private CommandLine.Model.CommandSpec spec;
--- a/src/main/java/beamspread/cli/VariantsCommand.java
+++ b/src/main/java/beamspread/cli/VariantsCommand.java
@@ -1,5 +1,7 @@
 package beamspread.cli;
 
+import beamspread.fleet.AgentCallException;
+import beamspread.fleet.AgentClient;
 import beamspread.fleet.Fleet;
 import beamspread.fleet.Inventory;
 import beamspread.fleet.LeaseKeeper;
@@ -37,6 +39,8 @@
       VariantsCommand.RunOwner.class,
       VariantsCommand.Status.class,
       VariantsCommand.Explain.class,
+      VariantsCommand.Split.class,
+      VariantsCommand.Allow.class,
       VariantsCommand.Check.class
     },
     footer = {
@@ -47,6 +51,7 @@
       "Examples:",
       "  ./beamspread variants check deploy/variants.json",
       "  ./beamspread variants run deploy/variants.json",
+      "  ./beamspread variants split page/",
       "  ./beamspread variants explain page/phone/17 --class read --file deploy/variants.json"
     })
 final class VariantsCommand extends InventoryCommand {
@@ -182,7 +187,7 @@
     }
 
     private void table(List<Api.VariantView> all) {
-      Table table = new Table("AGENT", "TABLE", "HOLDS", "FAMILIES", "SPLIT", "NODES");
+      Table table = new Table("AGENT", "TABLE", "HOLDS", "FAMILIES", "SPLIT", "KEPT", "NODES");
       for (Api.VariantView view : all) {
         table.row(
             view.agent(),
@@ -190,6 +195,7 @@
             view.holdsMs() / 1000.0 + " s",
             families(view).size(),
             view.split(),
+            view.kept(),
             view.nodes().stream().map(node -> node.node() + " " + node.version()).toList());
       }
       table.print(out());
@@ -200,7 +206,8 @@
       }
     }
 
-    private static Map<String, Object> families(Api.VariantView view) {
+    /** What an agent's table says of each family. */
+    static Map<String, Object> families(Api.VariantView view) {
       Map<String, Object> families = new LinkedHashMap<>();
       if (view.text() != null) {
         try {
@@ -261,6 +268,11 @@
     }
 
     private String why(VariantFile read, Api.VariantView view) {
+      for (String family : view.kept()) {
+        if (key.startsWith(family)) {
+          return "operators keep " + family + " split";
+        }
+      }
       if (view.text() == null) {
         return "agent " + view.agent() + " holds no table";
       }
@@ -270,6 +282,85 @@
     }
   }
 
+  /** Something that all agents are told of a family. */
+  abstract static class FamilyAction extends VariantsAction {
+    @Parameters(paramLabel = "FAMILY", description = "the prefix of its rule")
+    private String family;
+
+    @Option(names = "--fleet", defaultValue = "main", description = "(default: main)")
+    private String fleet;
+
+    /** Tells one agent. */
+    abstract Api.VariantView tell(AgentClient agent, String fleet, String family)
+        throws AgentCallException;
+
+    /** What is said of it once all agents know. */
+    abstract String told(String family);
+
+    @Override
+    public Integer call() throws Exception {
+      try (Fleet agents = new Fleet(Inventory.read(inventory()))) {
+        Fleet.Answers<Api.VariantView> views =
+            agents.ask(Selection.all(), client -> tell(client, fleet, family));
+        views.failures().values().forEach(failure -> err().println(failure.getMessage()));
+        if (json()) {
+          print(new ArrayList<>(views.answers().values()));
+        } else if (views.failures().isEmpty()) {
+          out().println(told(family));
+        }
+        if (views.answers().values().stream().noneMatch(this::concerns)) {
+          err().println("no table in force has a family " + family);
+        }
+        out().flush();
+        err().flush();
+        return views.failures().isEmpty() ? 0 : UNKNOWN;
+      }
+    }
+
+    private boolean concerns(Api.VariantView view) {
+      return Status.families(view).containsKey(family);
+    }
+  }
+
+  /** Keeps a family split. */
+  @Command(
+      name = "split",
+      description =
+          "Has a family's keys left alone on all nodes, within hold_s and two thirds of it, until"
+              + " it is allowed again. One agent that knows is enough; exit code 3 names those that"
+              + " do not.",
+      mixinStandardHelpOptions = true)
+  static final class Split extends FamilyAction {
+    @Override
+    Api.VariantView tell(AgentClient agent, String fleet, String family) throws AgentCallException {
+      return agent.split(fleet, family);
+    }
+
+    @Override
+    String told(String family) {
+      return family + " is kept split";
+    }
+  }
+
+  /** Allows a family again. */
+  @Command(
+      name = "allow",
+      description =
+          "Allows a family that was split by hand to be merged again. It stays split while an agent"
+              + " that could not be told keeps it so (exit code 3).",
+      mixinStandardHelpOptions = true)
+  static final class Allow extends FamilyAction {
+    @Override
+    Api.VariantView tell(AgentClient agent, String fleet, String family) throws AgentCallException {
+      return agent.allow(fleet, family);
+    }
+
+    @Override
+    String told(String family) {
+      return family + " may be merged again";
+    }
+  }
+
   /** Checks a file. */
   @Command(name = "check", description = "Checks a file of rules.", mixinStandardHelpOptions = true)
   static final class Check extends VariantsAction {
--- a/src/main/java/beamspread/fleet/AgentClient.java
+++ b/src/main/java/beamspread/fleet/AgentClient.java
@@ -161,11 +161,28 @@
     return get("variants/" + word(fleet), Api.VariantView.class, Duration.ZERO);
   }
 
+  /** The same without the table's text, which may be long. */
+  public Api.VariantView variantsBrief(String fleet) throws AgentCallException {
+    return get("variants/" + word(fleet) + "?text=0", Api.VariantView.class, Duration.ZERO);
+  }
+
   /** Offers a table of variants, under the token that is shown. */
   public Api.VariantView offer(String fleet, Api.VariantOffer offer) throws AgentCallException {
     return post("variants/" + word(fleet), offer, Api.VariantView.class);
   }
 
+  /** Keeps a family of variants split until it is allowed again. */
+  public Api.VariantView split(String fleet, String family) throws AgentCallException {
+    return post(
+        "variants/" + word(fleet) + "/split", new Api.VariantFamily(family), Api.VariantView.class);
+  }
+
+  /** Allows a family of variants to be merged again. */
+  public Api.VariantView allow(String fleet, String family) throws AgentCallException {
+    return post(
+        "variants/" + word(fleet) + "/allow", new Api.VariantFamily(family), Api.VariantView.class);
+  }
+
   /** The events after this number as they happen, one JSON object a line. */
   public InputStream events(long since) throws AgentCallException {
     HttpResponse<InputStream> response =
--- a/src/main/java/beamspread/fleet/VariantPublisher.java
+++ b/src/main/java/beamspread/fleet/VariantPublisher.java
@@ -53,11 +53,9 @@
   public Round round() {
     TreeMap<String, String> failures = new TreeMap<>();
     Fleet.Answers<Api.VariantView> views =
-        fleet.ask(Selection.all(), client -> client.variants(settings.fleet()));
+        fleet.ask(Selection.all(), client -> client.variantsBrief(settings.fleet()));
     views.failures().forEach((agent, why) -> failures.put(agent, why.getMessage()));
-    views
-        .answers()
-        .forEach((agent, view) -> owner.heard(System.nanoTime(), agent, Set.copyOf(view.split())));
+    views.answers().forEach(this::heard);
     VariantTable table = owner.table(System.nanoTime());
     Fleet.Answers<Boolean> taken =
         fleet.ask(
@@ -67,15 +65,20 @@
     return new Round(table, (int) count, failures);
   }
 
+  private void heard(String agent, Api.VariantView view) {
+    owner.heard(System.nanoTime(), agent, Set.copyOf(view.split()));
+    owner.kept(agent, Set.copyOf(view.kept()));
+  }
+
   private boolean offer(AgentClient client, VariantTable table, Api.VariantView view)
       throws AgentCallException {
     if (view == null || !lease.held()) {
       return false;
     }
-    client.offer(
-        settings.fleet(),
-        new Api.VariantOffer(
-            view.clock(), settings.holdNanos() / 1_000_000, table.digest(), table.text()));
+    String digest = table.digest();
+    String text = digest.equals(view.digest()) ? null : table.text();
+    long holdMillis = settings.holdNanos() / 1_000_000;
+    client.offer(settings.fleet(), new Api.VariantOffer(view.clock(), holdMillis, digest, text));
     return true;
   }
 }
--- a/src/main/java/beamspread/fleet/api/Api.java
+++ b/src/main/java/beamspread/fleet/api/Api.java
@@ -52,8 +52,9 @@
    * @param version of the highest table that it has seen, in force or not
    * @param holdsMs for how long that is in force; 0 for not at all
    * @param digest of the table; null where none is in force
-   * @param text of the table; null where none is in force
+   * @param text of the table; null where none is in force, or where it was not asked for
    * @param split families that nodes leave alone
+   * @param kept families that operators keep split
    * @param nodes what the nodes said last
    */
   public record VariantView(
@@ -65,7 +66,16 @@
       String digest,
       String text,
       List<String> split,
-      List<VariantNode> nodes) {}
+      List<String> kept,
+      List<VariantNode> nodes) {
+    /** An agent of an earlier version keeps none. */
+    public VariantView {
+      kept = kept == null ? List.of() : kept;
+    }
+  }
+
+  /** A family whose keys are to be split, or may be merged again. */
+  public record VariantFamily(String family) {}
 
   /** A node as its agent knows it: the version that it holds, and how long ago it said so. */
   public record VariantNode(String node, String version, long saidMs, List<String> split) {}
@@ -75,6 +85,7 @@
    *
    * @param clock the agent's clock as it was read before
    * @param holdMs for how long from that reading the table holds
+   * @param text null where the agent is known to hold the table of this digest: it is renewed
    */
   public record VariantOffer(String clock, long holdMs, String digest, String text) {}
 
--- a/src/main/java/beamspread/variants/VariantDesk.java
+++ b/src/main/java/beamspread/variants/VariantDesk.java
@@ -46,6 +46,11 @@
     return held.take(now, table, readAt + holdNanos);
   }
 
+  /** The owner prolongs the table of this version, which it knows to be held here. */
+  public HeldTable.Taken renew(long now, VariantVersion version, long readAt, long holdNanos) {
+    return held.renew(now, version, readAt + holdNanos);
+  }
+
   /** A node asks for the table, and says what it holds and leaves alone. */
   public void heard(long now, String node, VariantVersion version, Set<String> split) {
     if (words.size() < MOST_NODES || words.containsKey(node)) {
--- a/src/main/java/beamspread/variants/VariantOwner.java
+++ b/src/main/java/beamspread/variants/VariantOwner.java
@@ -9,15 +9,20 @@
 
 /**
  * The owner of a fleet's table: decides its versions under the token of its lease. A family that
- * any node has split is left out until all have been silent of it for the time of rest. A new owner
- * merges nothing before it has heard all agents, or waited for two holds: it does not know yet what
- * nodes have split.
+ * any node has split is left out until all have been silent of it for the time of rest, one that
+ * operators keep split until all agents have been told that it is allowed again. A new owner merges
+ * nothing before it has heard all agents, or waited for two holds: it does not know yet what nodes
+ * have split.
  */
 public final class VariantOwner {
   private final VariantSettings settings;
   private final long token;
   private Map<String, List<Set<String>>> rows;
   private final Map<String, Long> splitUntil = new HashMap<>();
+
+  /** By agent, the families that operators keep split there. */
+  private final Map<String, Set<String>> kept = new HashMap<>();
+
   private final Set<String> unheard;
   private final long waitsUntil;
   private VariantTable table;
@@ -53,11 +58,17 @@
     families.forEach(family -> splitUntil.put(family, now + settings.restNanos()));
   }
 
+  /** Operators keep these families split at an agent, and no others. */
+  public void kept(String agent, Set<String> families) {
+    kept.put(agent, Set.copyOf(families));
+  }
+
   /** The table as it is to be now: a new version where it has changed. */
   public VariantTable table(long now) {
     splitUntil.values().removeIf(until -> until - now <= 0);
     Map<String, List<Set<String>>> merged = new TreeMap<>(rows);
     merged.keySet().removeAll(splitUntil.keySet());
+    kept.values().forEach(merged.keySet()::removeAll);
     if (!unheard.isEmpty() && waitsUntil - now > 0) {
       merged.clear();
     }
--- a/src/test/java/beamspread/agent/VariantCallsTest.java
+++ b/src/test/java/beamspread/agent/VariantCallsTest.java
@@ -18,6 +18,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -101,12 +102,7 @@
           other.offer("other", offer(table(4, 3)));
         });
     Api.VariantOffer early = offer(table(4, 3));
-    fleet.close();
-    plain.close();
-    rig.closeAgent();
-    rig.start();
-    fleet = rig.fleet();
-    plain = rig.fleet();
+    restart();
     assertThat(rig.client(plain).variants("main").text()).isNull();
     refused("other_start", () -> client(4).offer("main", early));
     refused(Api.STALE_TOKEN, () -> client(3).offer("main", offer(table(3, 9))));
@@ -139,25 +135,41 @@
                     "main",
                     new Api.VariantOffer(
                         read[0] + ":" + before, 60_000, next.digest(), next.text())));
+    refused(
+        "table_unknown",
+        () -> client(1).offer("main", new Api.VariantOffer(clock, 60_000, next.digest(), null)));
     // Known to be there, and over: the one before does not hold beside it.
     assertThat(rig.client(plain).variants("main").version()).isEqualTo("1.2");
     assertThat(rig.client(plain).variants("main").text()).isNull();
   }
 
+  @Test
+  void aTableThatIsHeldIsRenewedByItsDigestUnderItsOwnToken() throws Exception {
+    VariantTable table = table(2, 1);
+    String clock = rig.client(plain).variantsBrief("main").clock();
+    Api.VariantOffer whole = new Api.VariantOffer(clock, 10_000, table.digest(), table.text());
+    client(2).offer("main", whole);
+    Api.VariantView brief = rig.client(plain).variantsBrief("main");
+    assertThat(brief.text()).isNull();
+    assertThat(brief.digest()).isEqualTo(table.digest());
+    assertThat(brief.holdsMs()).isBetween(1L, 10_000L);
+    Api.VariantOffer renewal = new Api.VariantOffer(brief.clock(), 60_000, table.digest(), null);
+    assertThat(client(2).offer("main", renewal).holdsMs()).isBetween(10_001L, 60_000L);
+    assertThat(rig.client(plain).variants("main").text()).isEqualTo(table.text());
+    refused("table_unknown", () -> client(3).offer("main", renewal));
+    refused(
+        "table_unknown",
+        () ->
+            client(3)
+                .offer(
+                    "main",
+                    new Api.VariantOffer(brief.clock(), 60_000, table(3, 1).digest(), null)));
+  }
+
   /** What nodes leave alone comes back to the owner, whose next table leaves it out. */
   @Test
   void aPublisherLeavesOutWhatANodeLeavesAlone() throws Exception {
-    var file =
-        VariantFileReader.read(
-            """
-            {"fleet":"main","hold_s":5,"rules":[
-             {"prefix":"page/","separator":"/","field":0,"classes":["phone","tablet"],
-              "requests":["read"],"max_age_s":30,"same":["phone+tablet"]},
-             {"prefix":"list/","separator":"/","field":0,"classes":["phone","tablet"],
-              "requests":["read"],"max_age_s":30,"same":["phone+tablet"]}]}
-            """);
-    WorkLease lease = WorkLease.of(new FencingToken("variants/main", 7));
-    VariantPublisher publisher = new VariantPublisher(fleet, lease, file);
+    VariantPublisher publisher = publisher();
     VariantPublisher.Round first = publisher.round();
     assertThat(first.taken()).isEqualTo(1);
     assertThat(first.table().rows()).containsOnlyKeys("page/", "list/");
@@ -175,6 +187,47 @@
         .containsExactly(Tuple.tuple("n1", "7.2"));
   }
 
+  private VariantPublisher publisher() throws Exception {
+    var file =
+        VariantFileReader.read(
+            """
+            {"fleet":"main","hold_s":5,"rules":[
+             {"prefix":"page/","separator":"/","field":0,"classes":["phone","tablet"],
+              "requests":["read"],"max_age_s":30,"same":["phone+tablet"]},
+             {"prefix":"list/","separator":"/","field":0,"classes":["phone","tablet"],
+              "requests":["read"],"max_age_s":30,"same":["phone+tablet"]}]}
+            """);
+    WorkLease lease = WorkLease.of(new FencingToken("variants/main", 7));
+    return new VariantPublisher(fleet, lease, file);
+  }
+
+  @Test
+  void aFamilyThatOperatorsSplitStaysSplitOverARestartUntilItIsAllowed() throws Exception {
+    assertThat(publisher().round().table().rows()).containsOnlyKeys("page/", "list/");
+    assertThat(rig.client(plain).split("main", "page/").kept()).containsExactly("page/");
+    assertThat(publisher().round().table().rows()).containsOnlyKeys("list/");
+    restart();
+    VariantPublisher publisher = publisher();
+    assertThat(publisher.round().table().rows()).containsOnlyKeys("list/");
+    assertThat(rig.client(plain).allow("main", "page/").kept()).isEmpty();
+    assertThat(publisher.round().table().rows()).containsOnlyKeys("page/", "list/");
+    refused("bad_request", () -> rig.client(plain).split("main", "two words"));
+    refused("bad_request", () -> rig.client(plain).split("main", ""));
+    Files.writeString(rig.folder.resolve("run").resolve("variant-splits.json"), "{\"main\":7}");
+    restart();
+    refused("splits_damaged", () -> client(8).offer("main", offer(table(8, 1))));
+    refused("splits_damaged", () -> rig.client(plain).allow("main", "page/"));
+  }
+
+  private void restart() throws Exception {
+    fleet.close();
+    plain.close();
+    rig.closeAgent();
+    rig.start();
+    fleet = rig.fleet();
+    plain = rig.fleet();
+  }
+
   private Api.VariantTold pull(String body) throws Exception {
     var request =
         HttpRequest.newBuilder(URI.create(rig.agent.url() + "/v1/variants/main/pull"))
--- a/src/test/java/beamspread/cli/VariantsCommandTest.java
+++ b/src/test/java/beamspread/cli/VariantsCommandTest.java
@@ -30,6 +30,7 @@
   private Agent agent;
   private Path inventory;
   private Path rules;
+  private long token = 5;
   private String out;
   private String err;
 
@@ -55,7 +56,7 @@
   }
 
   private void publish() throws Exception {
-    WorkLease lease = WorkLease.of(new FencingToken("variants/main", 5));
+    WorkLease lease = WorkLease.of(new FencingToken("variants/main", token++));
     try (Fleet fleet = scratch.fleet(List.of(agent))) {
       assertThat(new VariantPublisher(fleet, lease, VariantFileReader.read(RULES)).round().taken())
           .isEqualTo(1);
@@ -95,6 +96,29 @@
     assertThat(err).contains("agent-1");
   }
 
+  @Test
+  void aFamilyIsSplitByHandUntilItIsAllowed() throws Exception {
+    publish();
+    assertThat(run("variants", "split", "page/")).as(err).isZero();
+    assertThat(out).contains("page/ is kept split");
+    assertThat(err).isEmpty();
+    assertThat(run("variants", "split", "pag/")).as(err).isZero();
+    assertThat(err).contains("no table in force has a family pag/");
+    assertThat(run("variants", "allow", "pag/")).as(err).isZero();
+    assertThat(explain("page/watch/1", "read")).isEqualTo(1);
+    assertThat(out).contains("operators keep page/ split");
+    publish();
+    assertThat(run("variants", "status")).as(err).isZero();
+    assertThat(out).contains("[page/]").doesNotContain("tablet");
+    assertThat(run("variants", "-o", "json", "allow", "page/")).as(err).isZero();
+    assertThat(Json.readTree(out).get(0).path("kept")).isEmpty();
+    assertThat(run("variants", "split", "two words")).isEqualTo(3);
+    assertThat(err).contains("family must have 1 to 200 visible letters");
+    Files.writeString(inventory, "[[agent]]\nname = \"agent-1\"\nurl = \"http://127.0.0.1:1\"\n");
+    assertThat(run("variants", "allow", "page/")).isEqualTo(3);
+    assertThat(err).contains("agent agent-1 cannot be reached");
+  }
+
   @Test
   void aWrongFileIsOneErrorThatNamesThePlace() throws IOException {
     assertThat(run("variants", "check", rules.toString())).as(err).isZero();
--- a/src/test/java/beamspread/variants/VariantKeysTest.java
+++ b/src/test/java/beamspread/variants/VariantKeysTest.java
@@ -157,4 +157,19 @@
     assertThat(owner.table(7 * SECOND).rows()).isEmpty();
     assertThat(owner.table(7 * SECOND).version()).isEqualTo(new VariantVersion(4, 4));
   }
+
+  @Test
+  void aFamilyThatOperatorsKeepSplitIsLeftOutUntilAllAgentsAllowIt() {
+    var rows = Map.of("page/", List.of(Set.of("phone", "tablet")));
+    VariantOwner owner = new VariantOwner(SETTINGS, 4, rows, Set.of("a1", "a2"), 0);
+    owner.heard(0, "a1", Set.of());
+    owner.heard(0, "a2", Set.of());
+    owner.kept("a1", Set.of("page/"));
+    owner.kept("a2", Set.of("page/"));
+    assertThat(owner.table(0).rows()).isEmpty();
+    owner.kept("a1", Set.of());
+    assertThat(owner.table(100 * SECOND).rows()).as("a2 keeps it, for however long").isEmpty();
+    owner.kept("a2", Set.of());
+    assertThat(owner.table(100 * SECOND).rows()).as("at once").isEqualTo(rows);
+  }
 }
--- a/src/test/java/beamspread/variants/VariantWorld.java
+++ b/src/test/java/beamspread/variants/VariantWorld.java
@@ -268,6 +268,7 @@
     long readAt = now;
     int start = agent.start;
     Set<String> split = agent.desk.split(agent.clock(), 60 * SECOND);
+    VariantTable held = agent.desk.held().inForce(clock);
     reaches(
         from,
         () -> {
@@ -278,11 +279,12 @@
           }
           VariantTable table = from.decides.table(from.clock());
           lastReadOf.merge(table.version(), readAt, Math::max);
-          reaches(agent, () -> offer(agent, table, clock, start));
+          boolean known = held != null && held.digest().equals(table.digest());
+          reaches(agent, () -> offer(agent, table, known, clock, start));
         });
   }
 
-  private void offer(Agent agent, VariantTable table, long clock, int start) {
+  private void offer(Agent agent, VariantTable table, boolean known, long clock, int start) {
     boolean older = table.version().token() < agent.highestToken;
     if (older && !mistakes.contains(Mistake.OLDER_TOKEN_TAKEN) || start != agent.start) {
       return;
@@ -292,7 +294,11 @@
     }
     agent.highestToken = Math.max(agent.highestToken, table.version().token());
     long readAt = mistakes.contains(Mistake.HOLD_FROM_ARRIVAL) ? agent.clock() : clock;
-    agent.desk.offer(agent.clock(), table, readAt, SETTINGS.holdNanos());
+    if (known && agent.desk.held().inForce(agent.clock()) != null) {
+      agent.desk.renew(agent.clock(), table.version(), readAt, SETTINGS.holdNanos());
+    } else if (!known) {
+      agent.desk.offer(agent.clock(), table, readAt, SETTINGS.holdNanos());
+    }
   }
 
   private void pull(Node node) {
