Chaos rig: a run that is told to end ends what it has started

Change: a play has a shutdown hook that interrupts it and waits until all is cleared away; instances are known by what was seen of them as well, since the scratch folder may be gone by then. Measured: ChaosCommandTest without the hook: processes still there after 20 s; with it all gone.

--- a/src/main/java/beamspread/chaos/RolloutScene.java
+++ b/src/main/java/beamspread/chaos/RolloutScene.java
@@ -333,7 +333,9 @@
       program.kill();
     }
     for (int i = 0; stage != null && i < agents * instances; i++) {
-      endLeftBehind("n" + i, stage.folder().resolve(agent(i / instances)));
+      String instance = "n" + i;
+      long seen = watch == null ? -1 : watch.pid(instance);
+      endLeftBehind(instance, seen, stage.folder().resolve(agent(i / instances)));
     }
     if (watch != null) {
       watch.stop();
@@ -343,18 +345,26 @@
     }
   }
 
-  /** The instances outlive their agent; not the run. Only what was started here is ended. */
-  private static void endLeftBehind(String instance, Path folder) throws IOException {
+  /**
+   * The instances outlive their agent; not the run. Only what was started here is ended.
+   *
+   * @param seen the process that was seen last, which is known also where the folder is gone
+   */
+  private static void endLeftBehind(String instance, long seen, Path folder) throws IOException {
     Path pidFile = folder.resolve("run").resolve(instance + ".pid");
-    if (!Files.exists(pidFile)) {
-      return;
+    if (Files.exists(pidFile)) {
+      String pid = Files.readString(pidFile).split(" ")[0];
+      if (pid.matches("[0-9]+")) {
+        endIfStartedIn(folder, Long.parseLong(pid));
+      }
     }
-    String pid = Files.readString(pidFile).split(" ")[0];
-    Path command = Path.of("/proc", pid, "cmdline");
-    if (pid.matches("[0-9]+")
-        && Files.exists(command)
-        && Files.readString(command).contains(folder.toString())) {
-      ProcessHandle.of(Long.parseLong(pid)).ifPresent(ProcessHandle::destroyForcibly);
+    endIfStartedIn(folder, seen);
+  }
+
+  private static void endIfStartedIn(Path folder, long pid) throws IOException {
+    Path command = Path.of("/proc", Long.toString(pid), "cmdline");
+    if (Files.exists(command) && Files.readString(command).contains(folder.toString())) {
+      ProcessHandle.of(pid).ifPresent(ProcessHandle::destroyForcibly);
     }
   }
 
--- a/src/main/java/beamspread/chaos/Run.java
+++ b/src/main/java/beamspread/chaos/Run.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 /** Plays a scene once under a schedule. */
@@ -19,6 +20,9 @@
   /** The fact of an event by which the machine is known to have stood still: for how long. */
   static final String STOOD = "stood";
 
+  /** How long a process that is told to end waits for what it has started. */
+  private static final long LONGEST_END_SECONDS = 30;
+
   /** A stand from which on nothing is judged by the clock. */
   private static final long STOOD_NANOS = 80_000_000;
 
@@ -51,11 +55,21 @@
   /** A fault's beginning or end. */
   private record Turn(long atNanos, Fault fault, boolean begins) {}
 
-  /** Plays it to its end; all that was started is ended. */
+  /**
+   * Plays it to its end; all that was started is ended, also where this process is told to end
+   * meanwhile.
+   */
   public Outcome play() throws Exception {
     History history = new History(System.nanoTime());
+    Thread playing = Thread.currentThread();
+    CountDownLatch ended = new CountDownLatch(1);
+    Thread atExit = new Thread(() -> endEarly(playing, ended), "chaos-exit");
+    Runtime.getRuntime().addShutdownHook(atExit);
     try (Relays relays = new Relays(schedule.seed())) {
       play(history, relays);
+    } finally {
+      ended.countDown();
+      forget(atExit);
     }
     List<History.Event> events = history.events();
     List<Breach> breaches = new ArrayList<>(scene.judge(events));
@@ -63,6 +77,23 @@
     return new Outcome(schedule, events, history.dropped(), List.copyOf(breaches));
   }
 
+  private static void endEarly(Thread playing, CountDownLatch ended) {
+    playing.interrupt();
+    try {
+      ended.await(LONGEST_END_SECONDS, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void forget(Thread atExit) {
+    try {
+      Runtime.getRuntime().removeShutdownHook(atExit);
+    } catch (IllegalStateException e) {
+      // It is under way.
+    }
+  }
+
   private void play(History history, Relays relays) throws Exception {
     Thread watching = new Thread(() -> watchMachine(history), "machine-watch");
     watching.setDaemon(true);
--- a/src/test/java/beamspread/cli/ChaosCommandTest.java
+++ b/src/test/java/beamspread/cli/ChaosCommandTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import beamspread.chaos.Program;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.PrintWriter;
@@ -10,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -51,6 +53,46 @@
     assertThat(err.toString()).contains("--runs must be 1 to 1000");
   }
 
+  @Test
+  void aRunThatIsToldToEndLeavesNoProcessBehind() throws Exception {
+    Path file =
+        Files.writeString(
+            folder.resolve("run.toml"),
+            """
+            scene = "rollout"
+            seconds = 300
+            [rollout]
+            agents = 1
+            instances = 2
+            callers = 1
+            """);
+    List<String> words = Program.operations(64, "chaos", "run", file.toString());
+    words.add(1, "-Djava.io.tmpdir=" + folder);
+    Process run =
+        new ProcessBuilder(words)
+            .redirectErrorStream(true)
+            .redirectOutput(folder.resolve("out").toFile())
+            .start();
+    List<ProcessHandle> started = List.of();
+    try {
+      // The agent, its instances, and an operator's command.
+      long until = System.nanoTime() + 60_000_000_000L;
+      while (started.size() < 4 && System.nanoTime() < until) {
+        started = run.descendants().toList();
+        TimeUnit.MILLISECONDS.sleep(20);
+      }
+      assertThat(started).as(Files.readString(folder.resolve("out"))).hasSizeGreaterThan(3);
+      run.destroy();
+      assertThat(run.waitFor(60, TimeUnit.SECONDS)).isTrue();
+      for (ProcessHandle one : started) {
+        one.onExit().get(20, TimeUnit.SECONDS);
+      }
+    } finally {
+      run.destroyForcibly().waitFor();
+      started.forEach(ProcessHandle::destroyForcibly);
+    }
+  }
+
   @Test
   void aRunWritesItsReportItsPageAndItsHistory() throws Exception {
     Path page = folder.resolve("run.html");
