--- a/src/main/java/beamspread/cli/LeaseOptions.java
+++ b/src/main/java/beamspread/cli/LeaseOptions.java
@@ -106,6 +106,11 @@
       }
     }
     List<Unreachable> unaware = told.unreachable();
+    if (!unaware.isEmpty() && !lease.held()) {
+      unaware.forEach(one -> action.err().println(one.reason()));
+      action.err().println("nothing was begun: the lease was lost while agents were told");
+      return false;
+    }
     if (!unaware.isEmpty() && !away.allow) {
       throw new AwayException(UNAWARE, unaware);
     }
