--- a/src/test/java/beamspread/node/FullOfIdleClientsTest.java
+++ b/src/test/java/beamspread/node/FullOfIdleClientsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beamspread.sim.WireException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -56,6 +57,8 @@
       files.configure("127.0.0.1:0", "\"mgmt\":\"127.0.0.1:0\",", discovery, first);
       process[0] = files.launchWithin(DESCRIPTORS);
       Peers.await("it follows discovery", () -> !discovery.lines.isEmpty());
+      // The socket is opened once the node serves, which may come after its first call.
+      Peers.await("it tells its status", () -> tellsStatus(files));
       InetSocketAddress node = address(files, "listen");
       fill(node);
       served(node, "before");
@@ -104,6 +107,15 @@
     }
   }
 
+  private static boolean tellsStatus(ServeProcess files) {
+    try {
+      files.status();
+      return true;
+    } catch (IOException | WireException e) {
+      return false;
+    }
+  }
+
   private static InetSocketAddress address(ServeProcess files, String name) throws Exception {
     String[] at = files.status().requiredText(name).split(":");
     return new InetSocketAddress(at[0], Integer.parseInt(at[1]));
