A server that has never answered is not taken for one that died and came back cold

The time now counts from when the balancer came to know the server. FailuresTest.aServerThatResetsItsFirstConnectionsIsNotTakenForRestarted fails without it (warmth 0.1 for 1).

--- a/src/main/java/beamspread/policy/ServerHealth.java
+++ b/src/main/java/beamspread/policy/ServerHealth.java
@@ -64,13 +64,17 @@
   /** When a connection was last in use; none is held when this is too long ago. */
   double connectedAt = Double.NEGATIVE_INFINITY;
 
-  /** Whether a connection to it broke, when it last answered, and whether its process ended. */
+  /** Whether a connection to it broke, and whether its process ended. */
   private boolean broke;
 
-  private double heardAt = Double.NEGATIVE_INFINITY;
-  private double servedAt = Double.NEGATIVE_INFINITY;
   private boolean died;
 
+  /** When it last answered; before it ever has, when this balancer came to know it. */
+  private double heardAt;
+
+  private boolean heard;
+  private double servedAt = Double.NEGATIVE_INFINITY;
+
   private double tokens;
   private double tokensAt;
 
@@ -80,6 +84,7 @@
     this.settings = settings;
     this.startedAt = entry.startedAt() > 0 ? entry.startedAt() : Double.NEGATIVE_INFINITY;
     this.learnedAt = now;
+    this.heardAt = now;
     takeTurn(now);
   }
 
@@ -108,7 +113,7 @@
 
   /** Whether it answered so lately that a broken connection says nothing of the server. */
   boolean lively(double now) {
-    return now - heardAt < LIVELY;
+    return heard && now - heardAt < LIVELY;
   }
 
   boolean suspect() {
@@ -215,6 +220,7 @@
       failures += result == Outcome.Result.RESET && lively(now) ? 0 : 1;
     } else if (result.fromServer()) {
       connectedAt = heardAt = now;
+      heard = true;
       if (was && died) {
         // It was down and answers again before the list has told: its process is new and cold.
         startedAt = Math.max(startedAt, now);
--- a/src/test/java/beamspread/policy/FailuresTest.java
+++ b/src/test/java/beamspread/policy/FailuresTest.java
@@ -96,6 +96,23 @@
     assertEquals(1, slow.share(160));
   }
 
+  /** Its connections break, then it answers: nothing says that its process is new, and so cold. */
+  @Test
+  void aServerThatResetsItsFirstConnectionsIsNotTakenForRestarted() {
+    ServerHealth first = server(1);
+    double now = 100;
+    for (int i = 0; i < 3; i++) {
+      now += 0.1;
+      first.sent();
+      first.ended(now, Rig.outcome("r" + i, 0, 1, Outcome.Result.RESET), 60, false);
+    }
+    assertTrue(first.suspect());
+    first.sent();
+    first.ended(now + 0.1, Rig.outcome("r3", 0, 1, Outcome.Result.OK), 60, false);
+    assertFalse(first.suspect());
+    assertEquals(1, first.warmth(now + 0.1));
+  }
+
   @Test
   void whatStrainsAllServersMovesNoKey() {
     ServerHealth one = server(1);
