Calls to discovery: a package of their own; each failure, version and confirmation is told

Need: the incident's logs told each kind of failure once a minute, so nobody could say when a call began, how long it waited, why it ended, and how old the list was.

node.discovery has the client, one call, the list and their log. Each failed call is logged with its number, typed end and duration (the first 20 in a row, then one a minute), each version that is taken over with the failures before it. The status has the list's version, when discovery last confirmed it, calls by their end, and why requests were answered here without a cache server (UnservedCause). No decision changes.

--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -7,6 +7,11 @@
 import beamspread.model.MembershipUpdate;
 import beamspread.model.Outcome;
 import beamspread.model.Settings;
+import beamspread.node.discovery.CallFailure;
+import beamspread.node.discovery.DiscoveryClient;
+import beamspread.node.discovery.ListLog;
+import beamspread.node.discovery.ListStatus;
+import beamspread.node.discovery.MemberList;
 import beamspread.node.handover.LearntNote;
 import beamspread.node.relay.ValueRelays;
 import beamspread.node.server.Attempt;
@@ -18,6 +23,7 @@
 import beamspread.node.wire.MetaReply;
 import beamspread.policy.Actions;
 import beamspread.policy.Balancer;
+import beamspread.policy.UnservedCause;
 import beamspread.pool.PoolSettings;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.EventLoop;
@@ -27,6 +33,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
+import java.util.function.LongUnaryOperator;
 
 /**
  * Stands between the decision module and the sockets: carries out what it decides, and tells it
@@ -54,7 +61,7 @@
   private final ValueRelays relays;
   private final Targets targets;
   private final DiscoveryClient discovery;
-  private final ListTroubles troubles;
+  private final ListLog listLog;
   private final RequestMetrics metrics;
   private final OpenRequests open;
   private final DecisionEvents events;
@@ -75,6 +82,7 @@
       PoolSettings poolSettings,
       long stuckNanos,
       ValueRelays relays,
+      LongUnaryOperator unreadNanos,
       Log log) {
     this.loop = loop;
     this.relays = relays;
@@ -97,7 +105,7 @@
     this.open = new OpenRequests(metrics);
     this.events = new DecisionEvents(clock, this::moduleFailed);
     this.timers = new WakeTimers(loop, this::wakeDue);
-    this.troubles = new ListTroubles(log::line);
+    this.listLog = new ListLog(log::line);
     this.balancer = new Balancer(settings, config.seed(), this);
     this.intake =
         new RequestIntake(loop, open, events, balancer, metrics, log, longestDeadlineNanos);
@@ -110,6 +118,7 @@
             config.discovery(),
             settings.asksForList(),
             config.known().version(),
+            unreadNanos,
             this);
   }
 
@@ -239,6 +248,16 @@
     return targets;
   }
 
+  ListStatus listStatus() {
+    return new ListStatus(
+        discovery.version(), discovery.confirmedMillis(), discovery.calls(), listLog.failures());
+  }
+
+  /** How many requests were answered here, and by no cache server, for each cause. */
+  Map<UnservedCause, Long> unserved() {
+    return balancer.unserved();
+  }
+
   Figures figures() {
     return metrics.figures();
   }
@@ -369,18 +388,24 @@
 
   @Override
   public void list(MemberList list) {
-    list.faults().forEach(troubles::report);
+    list.faults().forEach(listLog::fault);
+    listLog.told(list);
     targets.list(list, list.full() ? MembershipUpdate.Kind.FULL : MembershipUpdate.Kind.CHANGES);
   }
 
   @Override
-  public void listTrouble(String why) {
-    troubles.report(why);
+  public void listConfirmed(long at) {
+    // The status tells how long ago it was.
+  }
+
+  @Override
+  public void listTrouble(CallFailure failure) {
+    listLog.failed(failure);
   }
 
   @Override
-  public void listFailed(String why) {
-    troubles.report(why);
+  public void listFailed(CallFailure failure) {
+    listLog.failed(failure);
     events.tell(
         now ->
             balancer.membership(
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -135,7 +135,9 @@
                 ChannelOption.CONNECT_TIMEOUT_MILLIS,
                 (int) Math.max(1, config.settings().limits().connectTimeout() * 1e3));
     relays = new ValueRelays(relayed, clients::idleClock);
-    dispatcher = new Dispatcher(config, loop, bootstrap, config.pool(), STUCK_NANOS, relays, log);
+    dispatcher =
+        new Dispatcher(
+            config, loop, bootstrap, config.pool(), STUCK_NANOS, relays, watch::unreadNanos, log);
   }
 
   private void paused(long nanos) {
@@ -175,6 +177,8 @@
         clients.count(),
         dispatcher.pools().sockets(),
         dispatcher.targets().states(),
+        dispatcher.listStatus(),
+        dispatcher.unserved(),
         NodeStatus.Values.of(relays()),
         draining,
         watch.longestNanos() / 1_000_000,
--- a/src/main/java/beamspread/node/NodeConfig.java
+++ b/src/main/java/beamspread/node/NodeConfig.java
@@ -1,6 +1,7 @@
 package beamspread.node;
 
 import beamspread.model.Settings;
+import beamspread.node.discovery.MemberList;
 import beamspread.node.tier.TierPart;
 import beamspread.node.variants.VariantFileReader;
 import beamspread.node.variants.VariantPart;
--- a/src/main/java/beamspread/node/NodeStatus.java
+++ b/src/main/java/beamspread/node/NodeStatus.java
@@ -1,14 +1,17 @@
 package beamspread.node;
 
 import beamspread.model.ServerEntry;
+import beamspread.node.discovery.ListStatus;
 import beamspread.node.tier.TierSocket;
 import beamspread.node.tier.TierStatus;
 import beamspread.node.variants.VariantStatus;
 import beamspread.node.wire.Json;
+import beamspread.policy.UnservedCause;
 import beamspread.relay.Relays;
 import beamspread.variants.VariantKeys;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
+import java.util.Locale;
 import java.util.Map;
 
 /**
@@ -21,6 +24,8 @@
  * @param clientConnections connections of clients
  * @param serverConnections sockets to cache servers: open, coming up, or being given up
  * @param servers how many cache servers the list names in each state
+ * @param list how its list of cache servers fares
+ * @param unserved how many requests it has answered itself for each cause, since the start
  * @param values how large values fare
  * @param draining whether a planned restart has begun
  * @param longestTurnMs the longest turn of the event loop since the start, in milliseconds
@@ -36,6 +41,8 @@
     int clientConnections,
     int serverConnections,
     Map<ServerEntry.State, Integer> servers,
+    ListStatus list,
+    Map<UnservedCause, Long> unserved,
     Values values,
     boolean draining,
     long longestTurnMs,
@@ -103,6 +110,14 @@
     }
   }
 
+  private void writeUnserved(JsonGenerator json) throws IOException {
+    json.writeObjectFieldStart("unserved");
+    for (Map.Entry<UnservedCause, Long> cause : unserved.entrySet()) {
+      json.writeNumberField(cause.getKey().name().toLowerCase(Locale.ROOT), cause.getValue());
+    }
+    json.writeEndObject();
+  }
+
   String json() {
     return Json.object(
             json -> {
@@ -122,6 +137,8 @@
               json.writeNumberField("active", servers.getOrDefault(ServerEntry.State.READY, 0));
               json.writeNumberField("leaving", servers.getOrDefault(ServerEntry.State.DRAINING, 0));
               json.writeEndObject();
+              list.write(json);
+              writeUnserved(json);
               values.write(json);
               json.writeBooleanField("draining", draining);
               json.writeNumberField("longest_turn_ms", longestTurnMs);
--- a/src/main/java/beamspread/node/OperatorCalls.java
+++ b/src/main/java/beamspread/node/OperatorCalls.java
@@ -2,6 +2,7 @@
 
 import beamspread.maintenance.Detachments;
 import beamspread.maintenance.Figures;
+import beamspread.node.discovery.MemberList;
 import beamspread.node.handover.SharedFolder;
 import beamspread.node.mgmt.MgmtCalls;
 import beamspread.node.wire.Json;
--- a/src/main/java/beamspread/node/Rehearsal.java
+++ b/src/main/java/beamspread/node/Rehearsal.java
@@ -3,6 +3,7 @@
 import beamspread.model.ServerEntry;
 import beamspread.model.Settings;
 import beamspread.node.client.ClientConnections;
+import beamspread.node.discovery.MemberList;
 import beamspread.node.wire.MemoryBudget;
 import beamspread.node.wire.MetaCommand;
 import beamspread.node.wire.MetaReply;
--- a/src/main/java/beamspread/node/Targets.java
+++ b/src/main/java/beamspread/node/Targets.java
@@ -3,6 +3,7 @@
 import beamspread.maintenance.Detachments;
 import beamspread.model.MembershipUpdate;
 import beamspread.model.ServerEntry;
+import beamspread.node.discovery.MemberList;
 import beamspread.node.server.ServerPools;
 import java.util.ArrayList;
 import java.util.HashMap;
--- /dev/null
+++ b/src/main/java/beamspread/node/discovery/ListStatus.java
@@ -0,0 +1,32 @@
+package beamspread.node.discovery;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * What a node tells of its list of cache servers.
+ *
+ * @param version its version
+ * @param confirmedMillis how long ago discovery last confirmed it, in milliseconds
+ * @param calls calls made since the start
+ * @param failures how many of them ended in each way
+ */
+public record ListStatus(
+    long version, long confirmedMillis, long calls, Map<CallFailure.Kind, Long> failures) {
+
+  /** Writes the field {@code list}. */
+  public void write(JsonGenerator json) throws IOException {
+    json.writeObjectFieldStart("list");
+    json.writeNumberField("version", version);
+    json.writeNumberField("confirmed_ms_ago", confirmedMillis);
+    json.writeNumberField("calls", calls);
+    json.writeObjectFieldStart("failed_calls");
+    for (Map.Entry<CallFailure.Kind, Long> failure : failures.entrySet()) {
+      json.writeNumberField(failure.getKey().name().toLowerCase(Locale.ROOT), failure.getValue());
+    }
+    json.writeEndObject();
+    json.writeEndObject();
+  }
+}
--- a/src/main/java/beamspread/node/MemberList.java
+++ b/src/main/java/beamspread/node/discovery/MemberList.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package beamspread.node.discovery;
 
 import beamspread.model.ServerEntry;
 import beamspread.sim.Message;
@@ -21,9 +21,10 @@
  * @param members its lines
  * @param faults what can't be worked with in them, in words for operators
  */
-record MemberList(boolean full, long version, List<Member> members, List<String> faults) {
+public record MemberList(boolean full, long version, List<Member> members, List<String> faults) {
 
-  MemberList(boolean full, long version, List<Member> members) {
+  /** One whose lines can all be worked with. */
+  public MemberList(boolean full, long version, List<Member> members) {
     this(full, version, members, List.of());
   }
 
@@ -34,9 +35,14 @@
    * @param address where this node reaches it; null for one that has left, or whose address can't
    *     be read
    */
-  record Member(ServerEntry entry, SocketAddress address) {}
+  public record Member(ServerEntry entry, SocketAddress address) {}
 
-  static MemberList parse(Message list) throws WireException {
+  /**
+   * Reads a list as discovery writes it. A line whose address can't be read is kept without one.
+   *
+   * @throws WireException if it is no list, or if no line of it has a good address
+   */
+  public static MemberList parse(Message list) throws WireException {
     List<Member> members = new ArrayList<>();
     List<String> faults = new ArrayList<>();
     for (Message line : list.requiredObjects("servers")) {
@@ -79,17 +85,17 @@
    * The number by which the module knows a server: made from the id alone, so that all nodes agree
    * on a key's home, and wide enough that no two ids of a fleet meet.
    */
-  static long number(String id) {
+  public static long number(String id) {
     return UUID.nameUUIDFromBytes(id.getBytes(StandardCharsets.UTF_8)).getMostSignificantBits();
   }
 
   /** An address and port written in figures: there is no DNS. */
-  static InetSocketAddress address(String text) throws WireException {
+  public static InetSocketAddress address(String text) throws WireException {
     return address(text, 1);
   }
 
   /** As an address to listen on: port 0 has the system choose one, which the status tells. */
-  static InetSocketAddress listenAddress(String text) throws WireException {
+  public static InetSocketAddress listenAddress(String text) throws WireException {
     return address(text, 0);
   }
 
--- a/src/main/java/beamspread/node/ObjectScan.java
+++ b/src/main/java/beamspread/node/discovery/ObjectScan.java
@@ -1,4 +1,4 @@
-package beamspread.node;
+package beamspread.node.discovery;
 
 import beamspread.sim.WireException;
 import io.netty.buffer.ByteBuf;
--- a/src/test/java/beamspread/node/EverNewTest.java
+++ b/src/test/java/beamspread/node/EverNewTest.java
@@ -6,6 +6,7 @@
 import beamspread.Retained;
 import beamspread.model.Settings;
 import beamspread.node.client.ClientConnections;
+import beamspread.node.discovery.MemberList;
 import beamspread.standin.CacheServer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
--- a/src/test/java/beamspread/node/OperatorCallsTest.java
+++ b/src/test/java/beamspread/node/OperatorCallsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import beamspread.LeakCheck;
+import beamspread.node.discovery.MemberList;
 import beamspread.sim.Message;
 import beamspread.sim.WireException;
 import java.io.IOException;
--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -3,6 +3,7 @@
 import beamspread.model.ServerEntry;
 import beamspread.model.Settings;
 import beamspread.node.client.ClientConnections;
+import beamspread.node.discovery.MemberList;
 import beamspread.pool.PoolSettings;
 import beamspread.relay.RelaySettings;
 import beamspread.sim.WireException;
--- a/src/test/java/beamspread/node/VariantNodeTest.java
+++ b/src/test/java/beamspread/node/VariantNodeTest.java
@@ -7,6 +7,7 @@
 import beamspread.model.ServerEntry;
 import beamspread.model.Settings;
 import beamspread.node.client.ClientConnections;
+import beamspread.node.discovery.MemberList;
 import beamspread.node.variants.VariantFileReader;
 import beamspread.node.variants.VariantPart;
 import beamspread.sim.WireException;
