--- a/src/test/java/beamspread/node/ServeProcess.java
+++ b/src/test/java/beamspread/node/ServeProcess.java
@@ -3,6 +3,7 @@
 import beamspread.sim.Message;
 import beamspread.sim.WireException;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
 import java.nio.channels.Channels;
@@ -35,13 +36,24 @@
    */
   void configure(String listen, String more, Peers.Server discovery, Peers.Server... servers)
       throws IOException {
+    configure(listen, more, discovery.address(), 1, servers);
+  }
+
+  /** The same before a discovery at this address, in a fleet of so many nodes. */
+  void configure(
+      String listen,
+      String more,
+      InetSocketAddress discovery,
+      int instances,
+      Peers.Server... servers)
+      throws IOException {
     Files.writeString(
         config,
         """
         {"name":"n0","listen":"%s","discovery":"127.0.0.1:%d","seed":"1f",
          "status_socket":"%s",%s
          "limits":{"cores":1,"memory_mb":64,"sockets":256},"known":%s,
-         "settings":{"zone":"a","azs":["a"],"kinds":["box"],"instances":1,"discovery":"ask",
+         "settings":{"zone":"a","azs":["a"],"kinds":["box"],"instances":%d,"discovery":"ask",
           "caps":{"attempts-cap":6,"cancel":true,"connect-timeout":1,"conn-idle":60,"multiplex":32,
            "parallel-tries":true},
           "contract":{"ask-within":10,"drain-grace":2,"warm-within":10,"cold-from":0.5,
@@ -50,7 +62,7 @@
            {"name":"put","slo":1,"give-up":2,"effect":"fragile"}]}}
         """
             .formatted(
-                listen, discovery.address().getPort(), status, more, Peers.list(40, servers)));
+                listen, discovery.getPort(), status, more, Peers.list(40, servers), instances));
   }
 
   Process launch() throws IOException {
