A list of servers that was not confirmed in time expires; calls back off where discovery is overloaded

A change counts as told 6 s after discovery had it and could be reached, whether or not it arrived; nothing in the node knew of that bound.

Change: policy.ListFreshness holds until when a list may be acted on, from evidence that the network code gives (ListEvidence): 6 s after the last confirmation (4 s after a move; at once where an agent pushes and was reached) and the grace less 0.25 s. Only a service that can't be reached moves the time on. Past it no attempt begins, first or further, and what waits is answered; attempts that wait for a connection are checked where they are written. Calls end by themselves: 1 s within a list, 16 KiB a second, 4.5 s without any list, and 2.5 s (not 3 s, as the timer had it) without an answer.

Balancer's rates are a class of their own; they stand still while nothing may be sent.

--- a/src/main/java/beamspread/node/Clock.java
+++ b/src/main/java/beamspread/node/Clock.java
@@ -10,6 +10,11 @@
 
   /** Seconds since 1970. */
   double now() {
-    return anchor + (System.nanoTime() - anchorNanos) / 1e9;
+    return at(System.nanoTime());
+  }
+
+  /** The same for a time on the clock of {@link System#nanoTime()}. */
+  double at(long nanos) {
+    return anchor + (nanos - anchorNanos) / 1e9;
   }
 }
--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -3,6 +3,7 @@
 import beamspread.maintenance.Figures;
 import beamspread.maintenance.Tally;
 import beamspread.model.Learnt;
+import beamspread.model.ListEvidence;
 import beamspread.model.LoadReport;
 import beamspread.model.MembershipUpdate;
 import beamspread.model.Outcome;
@@ -62,6 +63,7 @@
   private final Targets targets;
   private final DiscoveryClient discovery;
   private final ListLog listLog;
+  private final ListExpiry expiry;
   private final RequestMetrics metrics;
   private final OpenRequests open;
   private final DecisionEvents events;
@@ -107,6 +109,7 @@
     this.timers = new WakeTimers(loop, this::wakeDue);
     this.listLog = new ListLog(log::line);
     this.balancer = new Balancer(settings, config.seed(), this);
+    this.expiry = new ListExpiry(loop, clock, balancer, this::listExpired, log::line);
     this.intake =
         new RequestIntake(loop, open, events, balancer, metrics, log, longestDeadlineNanos);
     this.targets =
@@ -148,6 +151,7 @@
 
   /** Tells the module the list as it was last known, and begins to follow it. */
   void start(MemberList known) {
+    listEvidence(System.nanoTime(), ListEvidence.STARTED);
     targets.list(known, MembershipUpdate.Kind.REMEMBERED);
     if (!settings.asksForList()) {
       discovery.follow();
@@ -250,7 +254,12 @@
 
   ListStatus listStatus() {
     return new ListStatus(
-        discovery.version(), discovery.confirmedMillis(), discovery.calls(), listLog.failures());
+        discovery.version(),
+        discovery.confirmedMillis(),
+        expiry.expired(),
+        expiry.expiries(),
+        discovery.calls(),
+        listLog.failures());
   }
 
   /** How many requests were answered here, and by no cache server, for each cause. */
@@ -317,8 +326,8 @@
   }
 
   /**
-   * Looks at the client's socket before an attempt begins. What else is found there is told to the
-   * module afterwards: it may be deciding just now, and the pools are.
+   * Looks at the client's socket, and at the list's age, before an attempt begins. What else is
+   * found there is told to the module afterwards: it may be deciding just now, and the pools are.
    */
   @Override
   public boolean wanted(Attempt attempt) {
@@ -326,7 +335,7 @@
     if (!request.ended && events.collect(() -> lookForClient(request))) {
       loop.execute(events::tellWaiting);
     }
-    return !request.ended;
+    return !request.ended && !balancer.listExpired(clock.now());
   }
 
   private void lookForClient(OpenRequest request) {
@@ -394,8 +403,18 @@
   }
 
   @Override
-  public void listConfirmed(long at) {
-    // The status tells how long ago it was.
+  public void listEvidence(long at, ListEvidence evidence) {
+    events.tell(
+        now -> {
+          balancer.listEvidence(clock.at(at), evidence);
+          expiry.look();
+        });
+  }
+
+  /** Nothing goes out by the list any more, also of what was decided before. */
+  private void listExpired() {
+    events.tell(balancer::answerHeld);
+    open.unsentAttempts().forEach(attempt -> withdraw(attempt, Outcome.Result.MOOT));
   }
 
   @Override
@@ -406,10 +425,11 @@
   @Override
   public void listFailed(CallFailure failure) {
     listLog.failed(failure);
-    events.tell(
-        now ->
-            balancer.membership(
-                now, new MembershipUpdate(MembershipUpdate.Kind.FAILED, 0, List.of())));
+    MembershipUpdate.Kind kind =
+        failure.kind() == CallFailure.Kind.STATUS
+            ? MembershipUpdate.Kind.OVERLOADED
+            : MembershipUpdate.Kind.FAILED;
+    events.tell(now -> balancer.membership(now, new MembershipUpdate(kind, 0, List.of())));
   }
 
   // What the module decides.
--- a/src/main/java/beamspread/node/OpenRequests.java
+++ b/src/main/java/beamspread/node/OpenRequests.java
@@ -38,6 +38,14 @@
     return byId.values().stream().mapToInt(request -> request.out).sum();
   }
 
+  /** Attempts that wait for a connection. */
+  List<RequestAttempt> unsentAttempts() {
+    return byId.values().stream()
+        .flatMap(request -> request.attempts.stream())
+        .filter(attempt -> !attempt.over() && !attempt.sent())
+        .toList();
+  }
+
   void add(OpenRequest request) {
     byId.put(request.id(), request);
     unanswered++;
--- a/src/main/java/beamspread/node/discovery/DiscoveryCall.java
+++ b/src/main/java/beamspread/node/discovery/DiscoveryCall.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -33,9 +34,23 @@
   /** How long a watch that stands may say nothing: it sends at least an empty line every 2 s. */
   private static final long MAX_SILENCE_MILLIS = 3000;
 
+  /** How long a watch in order says nothing at most, with some delay on the way. */
+  private static final long LONGEST_BEAT_MILLIS = 2300;
+
   /** How long a call's answer may take to begin: discovery lets one wait for up to 2 s. */
   private static final long MAX_WAIT_MILLIS = 2500;
 
+  /** How long nothing may come within a list that has begun. */
+  private static final long MAX_GAP_MILLIS = 1000;
+
+  /** From when on a list that has begun has to come at a least rate, and that rate. */
+  private static final long SLOW_AFTER_MILLIS = 1000;
+
+  private static final long LEAST_BYTES_A_SECOND = 16 << 10;
+
+  /** How long a call may take to tell a list, however its answer comes. */
+  private static final long MAX_CALL_MILLIS = 4500;
+
   /**
    * What is missed on a silent watch binds 6 s after it fell silent: 3 s until that is noticed, one
    * connect that hangs, the pause, and a second connect leave one second (design 0012).
@@ -79,6 +94,19 @@
   private final long begunAt = System.nanoTime();
   private long heardAt = begunAt;
 
+  /** For how long this node did not run when it should have looked. */
+  private long stoodNanos;
+
+  /** When the list that is coming began, and how much of it has come. */
+  private long listBegunAt;
+
+  private long listBytes;
+
+  /** The next look for silence, and when it is. */
+  private ScheduledFuture<?> look;
+
+  private long lookAt;
+
   /** Whether its answer has begun. */
   private boolean answered;
 
@@ -110,7 +138,7 @@
     } else {
       connecting.addListener(done -> connected());
     }
-    listen();
+    lookInTime();
   }
 
   private void connected() {
@@ -135,38 +163,69 @@
     connecting.channel().writeAndFlush(request);
   }
 
-  /** Guards against discovery falling silent, where its connections stay open. */
-  private void listen() {
-    long now = System.nanoTime();
-    long soonest = heardAt + MAX_SILENCE_MILLIS * 1_000_000L;
-    // An answer that begins meanwhile shortens the patience.
-    long at = soonest - now > 0 ? soonest : heardAt + patience();
-    loop.schedule(this::notice, at - now, TimeUnit.NANOSECONDS);
+  /** Guards against discovery falling silent or slow, where its connections stay open. */
+  private void lookInTime() {
+    long at = patientUntil();
+    if (look != null && at - lookAt >= 0) {
+      return;
+    }
+    if (look != null) {
+      look.cancel(false);
+    }
+    lookAt = at;
+    look = loop.schedule(this::look, at - System.nanoTime(), TimeUnit.NANOSECONDS);
   }
 
-  private long patience() {
-    return (answered && query.follows() ? MAX_SILENCE_MILLIS : MAX_WAIT_MILLIS) * 1_000_000L;
+  /** When the call fails if nothing more comes. */
+  private long patientUntil() {
+    long silent = heardAt + patienceMillis() * 1_000_000L;
+    long late = begunAt + stoodNanos + MAX_CALL_MILLIS * 1_000_000L;
+    return told || silent - late < 0 ? silent : late;
   }
 
-  private void notice() {
-    if (over) {
-      return;
+  private long patienceMillis() {
+    if (listBytes > 0) {
+      return MAX_GAP_MILLIS;
     }
-    if (silent()) {
+    return told ? MAX_SILENCE_MILLIS : MAX_WAIT_MILLIS;
+  }
+
+  private void look() {
+    look = null;
+    if (!over && overdue()) {
+      stoodNanos += System.nanoTime() - lookAt;
       // It may have spoken while this node did not run: the timer is due before the socket is
       // looked at.
       SocketLook.read(connecting.channel());
-      if (!over && silent()) {
-        fail(CallFailure.Kind.SILENT, answered ? "its answer had begun" : "no answer");
+      if (!over && overdue()) {
+        failOverdue();
       }
     }
     if (!over) {
-      listen();
+      lookInTime();
+    }
+  }
+
+  private boolean overdue() {
+    return System.nanoTime() - patientUntil() >= 0;
+  }
+
+  private void failOverdue() {
+    if (System.nanoTime() - heardAt < patienceMillis() * 1_000_000L) {
+      fail(CallFailure.Kind.SLOW, "no list yet");
+    } else {
+      fail(CallFailure.Kind.SILENT, answered ? "its answer had begun" : "no answer");
     }
   }
 
-  private boolean silent() {
-    return System.nanoTime() - heardAt >= patience();
+  /** Guards against an answer that has no end since it comes byte by byte. */
+  private void failIfSlow() {
+    long millis = (System.nanoTime() - listBegunAt) / 1_000_000;
+    if (listBytes > 0
+        && millis >= SLOW_AFTER_MILLIS
+        && listBytes < LEAST_BYTES_A_SECOND * millis / 1000) {
+      fail(CallFailure.Kind.SLOW, listBytes + " bytes of a list in " + millis + " ms");
+    }
   }
 
   @Override
@@ -195,6 +254,12 @@
       if (last && !over) {
         fail(CallFailure.Kind.ENDED, "");
       }
+      if (!over) {
+        failIfSlow();
+      }
+    }
+    if (!over) {
+      lookInTime();
     }
   }
 
@@ -217,11 +282,21 @@
       }
     }
     text.discardReadBytes();
+    listGrows();
+  }
+
+  /** Notes how much of a list has come that is not whole. */
+  private void listGrows() {
+    if (text.isReadable() && listBytes == 0) {
+      listBegunAt = System.nanoTime();
+    }
+    listBytes = text.readableBytes();
   }
 
   /** Takes in the answer to a call for the whole list. */
   private void read(ByteBuf bytes, boolean last) throws WireException {
     keep(bytes);
+    listGrows();
     if (last) {
       MemberList list = parse(text);
       end();
@@ -277,13 +352,33 @@
     if (!over) {
       end();
       long millis = (System.nanoTime() - begunAt) / 1_000_000;
-      owner.failed(this, new CallFailure(kind, detail, query.number(), millis, told));
+      owner.failed(this, new CallFailure(kind, detail, query.number(), millis, progress()));
     }
   }
 
+  private CallFailure.Progress progress() {
+    if (told) {
+      return CallFailure.Progress.TOLD;
+    }
+    return answered ? CallFailure.Progress.BEGUN : CallFailure.Progress.NONE;
+  }
+
+  /** Whether discovery has answered it, and told no list yet. */
+  boolean hasBegun() {
+    return answered && !told;
+  }
+
+  /** Whether it has told a list, and not been silent for longer than a watch in order is. */
+  boolean inOrder() {
+    return told && System.nanoTime() - heardAt <= LONGEST_BEAT_MILLIS * 1_000_000L;
+  }
+
   /** Ends the call: nothing more is told of it. */
   void end() {
     over = true;
+    if (look != null) {
+      look.cancel(false);
+    }
     if (connecting.cause() == null) {
       // One that has failed is closed, and may never have been a socket.
       connecting.channel().close();
--- a/src/main/java/beamspread/node/discovery/DiscoveryClient.java
+++ b/src/main/java/beamspread/node/discovery/DiscoveryClient.java
@@ -1,5 +1,6 @@
 package beamspread.node.discovery;
 
+import beamspread.model.ListEvidence;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.EventLoop;
 import java.net.SocketAddress;
@@ -13,7 +14,8 @@
 public final class DiscoveryClient {
   private static final String PATH = "/catalog/members";
 
-  private static final long RETRY_MILLIS = 400;
+  /** Pause before a call that is made again without being asked for. */
+  private static final long RETRY_MILLIS = 200;
 
   /**
    * Least time from one watch to the next, whoever wants one and whatever the settings say. Guards
@@ -27,12 +29,11 @@
     void list(MemberList list);
 
     /**
-     * Discovery has confirmed the list: it told all that there was to tell.
+     * Something is known of discovery.
      *
-     * @param at the earliest time at which it can have done so, on the clock of {@link
-     *     System#nanoTime()}
+     * @param at since when at the latest, on the clock of {@link System#nanoTime()}
      */
-    void listConfirmed(long at);
+    void listEvidence(long at, ListEvidence evidence);
 
     /** A call has failed; it is made again here. */
     void listTrouble(CallFailure failure);
@@ -97,6 +98,9 @@
   public void follow() {
     long early = followedAt + LEAST_DISTANCE_NANOS - System.nanoTime();
     if (early <= 0) {
+      if (watch != null && watch.hasBegun()) {
+        evidence(ListEvidence.REACHED);
+      }
       stop();
       followedAt = System.nanoTime();
       watch = call(PATH + "?follow=1" + (anew ? "" : "&since=" + version), true, new WatchOwner());
@@ -125,6 +129,7 @@
     stop();
     address = to;
     anew = true;
+    evidence(ListEvidence.MOVED);
     follow();
   }
 
@@ -157,7 +162,13 @@
   private void confirm() {
     long now = System.nanoTime();
     confirmedAt = now - unreadNanos.applyAsLong(now);
-    listener.listConfirmed(confirmedAt);
+    listener.listEvidence(confirmedAt, ListEvidence.CONFIRMED);
+  }
+
+  private void evidence(ListEvidence evidence) {
+    if (evidence != null) {
+      listener.listEvidence(System.nanoTime(), evidence);
+    }
   }
 
   private void stopReading() {
@@ -233,6 +244,11 @@
       }
       watch = null;
       stopReading();
+      if (failure.broken() && call.inOrder() && !anew) {
+        // It told all that there was until it ended.
+        confirm();
+      }
+      evidence(failure.evidence(!asked));
       if (asked) {
         listener.listFailed(failure);
       } else {
@@ -270,6 +286,7 @@
     public void failed(DiscoveryCall call, CallFailure failure) {
       if (call == reading) {
         // The watch stands and tells all changes: the list has not failed.
+        evidence(ListEvidence.REACHED);
         listener.listTrouble(failure);
         readAgain();
       }
--- a/src/main/java/beamspread/node/discovery/ListLog.java
+++ b/src/main/java/beamspread/node/discovery/ListLog.java
@@ -75,7 +75,7 @@
                   failure.call(),
                   failure.text(),
                   failure.millis(),
-                  failure.told() ? ", a watch that stood" : ""));
+                  failure.progress() == CallFailure.Progress.TOLD ? ", a watch that stood" : ""));
     }
   }
 
--- a/src/main/java/beamspread/node/discovery/ListStatus.java
+++ b/src/main/java/beamspread/node/discovery/ListStatus.java
@@ -10,17 +10,26 @@
  *
  * @param version its version
  * @param confirmedMillis how long ago discovery last confirmed it, in milliseconds
+ * @param expired whether it is too old for requests to go out by it
+ * @param expiries how often it has become so since the start
  * @param calls calls made since the start
  * @param failures how many of them ended in each way
  */
 public record ListStatus(
-    long version, long confirmedMillis, long calls, Map<CallFailure.Kind, Long> failures) {
+    long version,
+    long confirmedMillis,
+    boolean expired,
+    long expiries,
+    long calls,
+    Map<CallFailure.Kind, Long> failures) {
 
   /** Writes the field {@code list}. */
   public void write(JsonGenerator json) throws IOException {
     json.writeObjectFieldStart("list");
     json.writeNumberField("version", version);
     json.writeNumberField("confirmed_ms_ago", confirmedMillis);
+    json.writeBooleanField("expired", expired);
+    json.writeNumberField("expiries", expiries);
     json.writeNumberField("calls", calls);
     json.writeObjectFieldStart("failed_calls");
     for (Map.Entry<CallFailure.Kind, Long> failure : failures.entrySet()) {
--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -2,6 +2,7 @@
 
 import beamspread.model.Hashes;
 import beamspread.model.Learnt;
+import beamspread.model.ListEvidence;
 import beamspread.model.MembershipUpdate;
 import beamspread.model.Outcome;
 import beamspread.model.Request;
@@ -67,6 +68,7 @@
   private final MembershipFeed feed;
   private final KeyHeat heat = new KeyHeat();
   private final OriginGuard guard = new OriginGuard();
+  private final Rates rates = new Rates();
   private final SlotTable slots;
   private final Map<String, Settings.ServiceClass> classes = new HashMap<>();
   private final Map<String, PendingRequest> pending = new HashMap<>();
@@ -82,14 +84,7 @@
   private int openElsewhere;
   private long serials;
   private double retryTokens = RETRY_BURST;
-  private double warmRate;
-  private double warmAnswers;
-  private double answerRate = Double.POSITIVE_INFINITY;
-  private double answers;
   private double thriftUntil = Double.NEGATIVE_INFINITY;
-  private int requests;
-  private double requestRate;
-  private double rateAt = Double.NaN;
 
   /** A balancer that knows nothing yet. */
   public Balancer(Settings settings, long seed, Actions actions) {
@@ -118,13 +113,34 @@
       }
     }
     boolean weighted = settings.weights().steady();
-    if (!caches.equals(ready) || (weighted && update.kind() != MembershipUpdate.Kind.FAILED)) {
+    if (!caches.equals(ready) || (weighted && !update.kind().failed())) {
       slots.rebuild(caches, weighted);
     }
     ready = caches;
     origins = fetchers;
   }
 
+  /** Something is known of the list's service since this time. */
+  public void listEvidence(double at, ListEvidence evidence) {
+    feed.evidence(at, evidence);
+  }
+
+  /** Whether the list is too old for any request to go out by it. */
+  public boolean listExpired(double now) {
+    return feed.freshness().expired(now);
+  }
+
+  /** When the list expires if nothing more is heard; positive infinity for never. */
+  public double listExpiresAt() {
+    return feed.freshness().expiresAt();
+  }
+
+  /** The list has expired: requests that are held here are answered. */
+  public void answerHeld(double now) {
+    List<PendingRequest> held = pending.values().stream().filter(p -> p.waiting).toList();
+    held.forEach(p -> resume(now, p));
+  }
+
   private double weight(ServerHealth server) {
     return settings.weights() == Settings.Weights.NONE ? 1 : LoadCap.usable(server.entry.weight());
   }
@@ -139,7 +155,7 @@
       return;
     }
     everySecond(now);
-    requests++;
+    rates.request();
     String subject = request.key() != null ? request.key() : request.id();
     PendingRequest p = new PendingRequest(request, type, Hashes.of(subject), serials += 2, now);
     pending.put(request.id(), p);
@@ -154,16 +170,20 @@
     // their own, and one for each server is always fair.
     int busy = inFlight - guard.fetches;
     double places = settings.limits().maxOpen() * (request.write() ? 1 : READS_PART);
-    boolean hopeless = busy > ready.size() && busy > answerRate * type.aim();
+    boolean hopeless = busy > ready.size() && busy > rates.answered * type.aim();
     if (hopeless) {
       giveUp(p, UnservedCause.OVERLOAD);
     } else if (pending.size() + openElsewhere > places) {
       giveUp(p, UnservedCause.TOO_MANY_OPEN);
     } else if (!dispatch(now, p)) {
-      giveUp(p, UnservedCause.NO_SERVER);
+      giveUp(p, noServer(now));
     }
   }
 
+  private UnservedCause noServer(double now) {
+    return listExpired(now) ? UnservedCause.LIST_EXPIRED : UnservedCause.NO_SERVER;
+  }
+
   /**
    * Gives a hot key several homes, the first owners of its own sequence. Guards against the key
    * that outgrows one server while each balancer sees too little of it to reach a cap: a key's
@@ -226,14 +246,9 @@
     actions.send(p.request.id(), target.id, 0);
   }
 
-  /**
-   * Once a second, the fleet's usual strain, how many fail, and the rates. The warm rate counts
-   * answers, and falls slowly: retries, little load or too much say nothing of what a server can
-   * do.
-   */
+  /** Once a second, the fleet's usual strain, how many fail, and the rates. */
   private void everySecond(double now) {
-    rateAt = Double.isNaN(rateAt) ? now : rateAt;
-    if (now - rateAt >= 1) {
+    if (rates.due(now)) {
       // Shares are relative: what strains all servers alike moves no key.
       greatestShare = Math.max(0.02, ranked(server -> server.share(now), 1));
       usualStrain = ranked(server -> server.strain(now), 0.5);
@@ -243,24 +258,16 @@
       for (ServerHealth server : ready) {
         weight += server.warmth(now) >= 1 && !server.suspect() ? weight(server) : 0;
       }
-      if (weight > 0) {
-        double rate = warmAnswers / (now - rateAt) / weight;
-        warmRate += (warmRate == 0 ? 1 : rate > warmRate ? 0.3 : 0.02) * (rate - warmRate);
-      }
-      warmAnswers = 0;
-      double answered = answers / (now - rateAt);
-      answerRate = Double.isInfinite(answerRate) ? answered : 0.5 * (answerRate + answered);
-      answers = 0;
-      // Slowly averaged, lest a storm of clients' tries raise it.
-      requestRate += (requestRate == 0 ? 1 : 0.05) * (requests / (now - rateAt) - requestRate);
-      guard.floor = FETCH_FLOOR * requestRate;
-      requests = 0;
-      rateAt = now;
+      rates.average(now, weight, !listExpired(now));
+      guard.floor = FETCH_FLOOR * rates.requested;
     }
   }
 
   /** The first owner of h(key, 0), h(key, 1), ... that is below its cap. */
   private ServerHealth choose(double now, PendingRequest p) {
+    if (listExpired(now)) {
+      return null;
+    }
     if (settings.cache().aside() && p.request.write()) {
       return leastLoaded(now, p, origins);
     }
@@ -302,11 +309,14 @@
   }
 
   private boolean coldFull(double now, ServerHealth server) {
-    return server.warmth(now) < 1 && !server.coldRoom(now, warmRate * weight(server));
+    return server.warmth(now) < 1 && !server.coldRoom(now, rates.warm * weight(server));
   }
 
   /** The defined end where every jump failed: the emptiest server that may take the request. */
   private ServerHealth leastLoaded(double now, PendingRequest p, List<ServerHealth> among) {
+    if (listExpired(now)) {
+      return null;
+    }
     ServerHealth best = null;
     for (ServerHealth server : among) {
       if (!p.maySend(server, now, settings.limits())
@@ -371,8 +381,7 @@
     thrift(now, server, server.ended(now, outcome, settings.limits().idleTimeout(), fewFailing));
     if (outcome.result() == Outcome.Result.OK) {
       retryTokens = Math.min(RETRY_BURST, retryTokens + RETRY_SHARE);
-      answers++;
-      warmAnswers += server.warmth(now) >= 1 ? 1 : 0;
+      rates.answer(server.warmth(now) >= 1);
     }
     // First: a retry would take the place of the fetch that has ended, and keep its key shut.
     learn(now, p, server, outcome);
@@ -471,7 +480,7 @@
   private void resume(double now, PendingRequest p) {
     p.waiting = false;
     if (!dispatch(now, p)) {
-      giveUp(p, UnservedCause.NO_SERVER);
+      giveUp(p, noServer(now));
     }
   }
 
@@ -480,7 +489,7 @@
       answer(p, UnservedCause.TIME_UP);
       return;
     }
-    UnservedCause cause = UnservedCause.NO_SERVER;
+    UnservedCause cause = noServer(now);
     // Where one server turns away what the others serve, retries multiply nothing.
     boolean ownTrouble =
         p.tries.get(outcome.attempt()).server.fetchLosses > OriginGuard.FAIR_LOSSES;
@@ -555,14 +564,14 @@
   public Learnt learnt(double now) {
     Map<Long, Double> shares = new HashMap<>();
     ready.forEach(server -> shares.put(server.id, server.share(now)));
-    return new Learnt(warmRate, answerRate, requestRate, shares);
+    return new Learnt(rates.warm, rates.answered, rates.requested, shares);
   }
 
   /** Takes over what a predecessor has learnt, once the list is known. */
   public void inherit(Learnt learnt) {
-    warmRate = learnt.warmRate();
-    answerRate = learnt.answerRate();
-    requestRate = learnt.requestRate();
+    rates.warm = learnt.warmRate();
+    rates.answered = learnt.answerRate();
+    rates.requested = learnt.requestRate();
     ready.forEach(server -> server.share = learnt.shares().getOrDefault(server.id, 1.0));
   }
 }
--- a/src/main/java/beamspread/policy/UnservedCause.java
+++ b/src/main/java/beamspread/policy/UnservedCause.java
@@ -6,6 +6,8 @@
   OVERLOAD,
   /** As many requests are open as may be. */
   TOO_MANY_OPEN,
+  /** The list of servers is too old to be acted on. */
+  LIST_EXPIRED,
   /** No server may take it. */
   NO_SERVER,
   /** An attempt failed, and no further one is earned. */
