A connect that hangs and a call that can't be made don't keep a list from expiring

Any call without a connection counted as a sign that discovery can't be reached, and moved the list's end on: also a connect that hangs before a full queue, while others are served, and a node without a socket of its own. Only where nothing listens, or no way leads there, is it so now (CallFailure.Kind NOT_THERE, NO_CONNECTION, NOT_MADE); where lists are pushed a connect that hangs stays a sign of an outage, as silence is.

--- a/src/main/java/beamspread/node/discovery/CallFailure.java
+++ b/src/main/java/beamspread/node/discovery/CallFailure.java
@@ -16,7 +16,11 @@
 
   /** What ended a call. */
   public enum Kind {
-    /** No connection came up. */
+    /** This node could not make it: it had no socket, for one. */
+    NOT_MADE,
+    /** Nothing listens there, or no way leads there. */
+    NOT_THERE,
+    /** No connection came up in time. */
     NO_CONNECTION,
     /** Discovery answered with a status that is no answer. */
     STATUS,
@@ -56,10 +60,14 @@
       return null;
     }
     boolean unanswered = progress == Progress.NONE;
-    boolean down =
-        kind == Kind.NO_CONNECTION
-            || unanswered && broken() && millis < AT_ONCE_MILLIS
-            || unanswered && kind == Kind.SILENT && pushed;
+    boolean down = kind == Kind.NOT_THERE || unanswered && broken() && millis < AT_ONCE_MILLIS;
+    if (pushed) {
+      down |= kind == Kind.NO_CONNECTION || unanswered && kind == Kind.SILENT;
+      if (kind == Kind.NOT_MADE) {
+        return null;
+      }
+    }
+    // Whatever else it was, discovery may have been there for others: it counts as reached.
     return down ? ListEvidence.UNREACHABLE : ListEvidence.REACHED;
   }
 
