--- a/src/test/java/beamspread/record/LeaseContract.java
+++ b/src/test/java/beamspread/record/LeaseContract.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 /** What every store of leases must do, whatever database it is in. */
@@ -21,6 +22,9 @@
   static final String NAME = "rollout/main";
   private static final long LONG_MILLIS = 60_000;
 
+  /** Guards against waiting without end for one that could not open its store. */
+  private static final int OPENED_WITHIN_SECONDS = 10;
+
   /** The leases in the one database of the test, opened anew. */
   abstract LeaseStore open() throws Exception;
 
@@ -81,7 +85,7 @@
           Callable<Boolean> call =
               () -> {
                 try (LeaseStore store = open()) {
-                  together.await();
+                  together.await(OPENED_WITHIN_SECONDS, TimeUnit.SECONDS);
                   store.acquire(name, holder, holder, LONG_MILLIS, false);
                   return true;
                 } catch (LeaseHeldException e) {
