A watch that ends in the middle of a change does not confirm the list

A watch in order that the other end ends counts as a confirmation at its end, since it told all until then. Where it ended within a list or change that was not whole, that is not so: what it was about to tell is missing. It counts from the last whole word then. DiscoveryClientTest's new case fails without it (two confirmations for one). Found when the change was read again.

--- a/src/main/java/beamspread/node/discovery/DiscoveryCall.java
+++ b/src/main/java/beamspread/node/discovery/DiscoveryCall.java
@@ -380,9 +380,11 @@
     return answered && !told;
   }
 
-  /** Whether it has told a list, and not been silent for longer than a watch in order is. */
+  /** Whether it has told a list, is not within another, and was not silent for too long. */
   boolean inOrder() {
-    return told && System.nanoTime() - heardAt <= LONGEST_BEAT_MILLIS * 1_000_000L;
+    return told
+        && listBytes == 0
+        && System.nanoTime() - heardAt <= LONGEST_BEAT_MILLIS * 1_000_000L;
   }
 
   /** Ends the call: nothing more is told of it. */
--- a/src/test/java/beamspread/node/DiscoveryClientTest.java
+++ b/src/test/java/beamspread/node/DiscoveryClientTest.java
@@ -17,6 +17,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** A node that can open no socket for a while goes on to follow the list. */
 class DiscoveryClientTest {
@@ -104,4 +106,26 @@
       loop.submit(client::stop).sync();
     }
   }
+
+  /** A watch that has told a list and ends: what it told last holds until then, if it was whole. */
+  @ParameterizedTest
+  @CsvSource({"'', 2", "'{\"version\":3,', 1"})
+  void aWatchThatEndsWithinAChangeConfirmsNothing(String rest, int confirmations) throws Exception {
+    failures.set(0);
+    try (Peers.Server discovery =
+        new Peers.Server(line -> line.startsWith("GET ") ? Peers.WATCH : null)) {
+      DiscoveryClient client = client(discovery, true);
+      loop.execute(client::follow);
+      Peers.await("a watch", () -> followed(discovery));
+      discovery.send(0, Peers.chunk(Peers.list(2) + "\n"));
+      Peers.await("its list", () -> told.contains("list"));
+      if (!rest.isEmpty()) {
+        discovery.send(0, Peers.chunk(rest));
+      }
+      discovery.end(0, false);
+      Peers.await("its end", () -> told.stream().anyMatch(text -> text.startsWith("failed")));
+      assertThat(seen).filteredOn(ListEvidence.CONFIRMED::equals).hasSize(confirmations);
+      loop.submit(client::stop).sync();
+    }
+  }
 }
