--- a/src/main/java/beamspread/node/NodeStatus.java
+++ b/src/main/java/beamspread/node/NodeStatus.java
@@ -11,7 +11,6 @@
 import beamspread.variants.VariantKeys;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
-import java.util.Locale;
 import java.util.Map;
 
 /**
@@ -110,14 +109,6 @@
     }
   }
 
-  private void writeUnserved(JsonGenerator json) throws IOException {
-    json.writeObjectFieldStart("unserved");
-    for (Map.Entry<UnservedCause, Long> cause : unserved.entrySet()) {
-      json.writeNumberField(cause.getKey().name().toLowerCase(Locale.ROOT), cause.getValue());
-    }
-    json.writeEndObject();
-  }
-
   String json() {
     return Json.object(
             json -> {
@@ -138,7 +129,7 @@
               json.writeNumberField("leaving", servers.getOrDefault(ServerEntry.State.DRAINING, 0));
               json.writeEndObject();
               list.write(json);
-              writeUnserved(json);
+              Json.writeCounts(json, "unserved", unserved);
               values.write(json);
               json.writeBooleanField("draining", draining);
               json.writeNumberField("longest_turn_ms", longestTurnMs);
--- a/src/main/java/beamspread/node/discovery/ListStatus.java
+++ b/src/main/java/beamspread/node/discovery/ListStatus.java
@@ -1,8 +1,8 @@
 package beamspread.node.discovery;
 
+import beamspread.node.wire.Json;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
-import java.util.Locale;
 import java.util.Map;
 
 /**
@@ -31,11 +31,7 @@
     json.writeBooleanField("expired", expired);
     json.writeNumberField("expiries", expiries);
     json.writeNumberField("calls", calls);
-    json.writeObjectFieldStart("failed_calls");
-    for (Map.Entry<CallFailure.Kind, Long> failure : failures.entrySet()) {
-      json.writeNumberField(failure.getKey().name().toLowerCase(Locale.ROOT), failure.getValue());
-    }
-    json.writeEndObject();
+    Json.writeCounts(json, "failed_calls", failures);
     json.writeEndObject();
   }
 }
