--- a/src/test/java/beamspread/node/ServeProcess.java
+++ b/src/test/java/beamspread/node/ServeProcess.java
@@ -50,6 +50,13 @@
       int instances,
       Peers.Server... servers)
       throws IOException {
+    configure(listen, extraFields, discovery, instances, Peers.listJson(40, servers));
+  }
+
+  /** Writes its configuration with this list of cache servers, as discovery formats it. */
+  void configure(
+      String listen, String extraFields, InetSocketAddress discovery, int instances, String list)
+      throws IOException {
     Files.writeString(
         config,
         """
@@ -62,15 +69,10 @@
           "contract":{"ask-within":10,"drain-grace":2,"warm-within":10,"cold-from":0.5,
            "overload-factor":3,"overload-for":2},
           "services":[{"name":"read","slo":1,"give-up":2,"effect":"retryable"},
-           {"name":"put","slo":1,"give-up":2,"effect":"fragile"}]}}
+           {"name":"put","slo":1,"give-up":2,"effect":"fragile"},
+           {"name":"keyed","slo":1,"give-up":2,"effect":"dedup","group":"zone","repeat-window":1}]}}
         """
-            .formatted(
-                listen,
-                discovery.getPort(),
-                status,
-                extraFields,
-                Peers.listJson(40, servers),
-                instances));
+            .formatted(listen, discovery.getPort(), status, extraFields, list, instances));
   }
 
   Process launch() throws IOException {
