A line without an id no longer counts as the answer of an attempt it may not be from

Cause: ServerConnection took a line without an id for the answer to the oldest attempt in flight, whoever it was meant for, and 'SERVER_ERROR busy' as proof that the attempt had not run. Evidence: ten of ten first copies began on a new connection, ran to their end, and the second copy left before the first was begun.

Now ReplyQueue assigns such a line for the time being. It counts for an attempt that must not be repeated (unsafe and keyed classes, and all where two attempts at once are forbidden) once a reply in order shows that it is the answer: one with an id, or the reply to a no-op (mn) that is sent behind it; an answer with the request's own id wins. An attempt on a connection whose last reply had no id is written behind a no-op, so that earlier lines are told from its own answer. A server that closes right behind its refusal (5 ms, no reset) is believed unless a reply that answers nothing was seen within 60 s. Otherwise the attempt may have run. The status counts such replies and what became of refusals; the log names the connection.

--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -358,6 +358,11 @@
     }
   }
 
+  @Override
+  public void unsolicitedReply(String connection) {
+    log.info("a cache server sent a reply that answers no request, " + connection);
+  }
+
   @Override
   public void attemptWritten(Attempt attempt) {
     metrics.attemptWritten();
@@ -469,13 +474,15 @@
     long now = System.nanoTime();
     long latest = request.deadlineNanos - ANSWER_MARGIN_NANOS;
     long deadline = timeout == 0 ? latest : Math.min(latest, now + (long) (timeout * 1e9));
+    boolean unrepeatable = serviceClass(request).effect() != Settings.Effect.SAFE;
     RequestAttempt attempt =
         new RequestAttempt(
             request,
             request.attempts.size(),
             server,
             deadline,
-            serviceClass(request).effect() != Settings.Effect.SAFE,
+            unrepeatable,
+            unrepeatable || !settings.limits().parallelAttempts(),
             repeatableUntil(request));
     request.attempts.add(attempt);
     request.attemptsInFlight++;
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -183,7 +183,7 @@
     }
   }
 
-  private NodeStatus status() {
+  NodeStatus status() {
     return new NodeStatus(
         configuration,
         listener.localAddress().toString().replace("/", ""),
@@ -194,6 +194,7 @@
         dispatcher.targets().countsByState(),
         dispatcher.listStatus(),
         dispatcher.unservedByCause(),
+        dispatcher.pools().replyStatistics(),
         NodeStatus.LargeValues.of(relayCounts()),
         draining,
         loopWatch.longestTurnNanos() / 1_000_000,
--- a/src/main/java/beamspread/node/NodeStatus.java
+++ b/src/main/java/beamspread/node/NodeStatus.java
@@ -2,6 +2,7 @@
 
 import beamspread.model.ServerEntry;
 import beamspread.node.discovery.ListStatus;
+import beamspread.node.server.ReplyStatistics;
 import beamspread.node.tier.TierSocket;
 import beamspread.node.tier.TierStatus;
 import beamspread.node.variants.VariantStatus;
@@ -25,6 +26,7 @@
  * @param servers how many cache servers the list names in each state
  * @param list the status of the list of cache servers
  * @param unserved how many requests this node has answered itself for each cause, since the start
+ * @param replies counts of replies that answer nothing and of refusals
  * @param largeValues counts of large values
  * @param draining whether a planned restart has begun
  * @param longestTurnMs the longest iteration of the event loop since the start, in milliseconds
@@ -42,6 +44,7 @@
     Map<ServerEntry.State, Integer> servers,
     ListStatus list,
     Map<UnservedCause, Long> unserved,
+    ReplyStatistics replies,
     LargeValues largeValues,
     boolean draining,
     long longestTurnMs,
@@ -133,6 +136,7 @@
               json.writeEndObject();
               list.write(json);
               Json.writeCounts(json, "unserved", unserved);
+              replies.write(json);
               largeValues.write(json);
               json.writeBooleanField("draining", draining);
               json.writeNumberField("longest_turn_ms", longestTurnMs);
--- a/src/main/java/beamspread/node/RequestAttempt.java
+++ b/src/main/java/beamspread/node/RequestAttempt.java
@@ -29,9 +29,10 @@
       int number,
       long server,
       long deadlineNanos,
-      boolean guarded,
+      boolean unrepeatable,
+      boolean refusalNeedsProof,
       long repeatableUntil) {
-    super(server, deadlineNanos, guarded);
+    super(server, deadlineNanos, unrepeatable, refusalNeedsProof);
     this.request = request;
     this.number = number;
     this.repeatableUntil = repeatableUntil;
--- a/src/main/java/beamspread/node/server/Attempt.java
+++ b/src/main/java/beamspread/node/server/Attempt.java
@@ -15,6 +15,12 @@
   /** Whether it can't be repeated, so that it must not be lost with others on its connection. */
   public final boolean unrepeatable;
 
+  /**
+   * Whether the request may be sent again only if it is proven that this attempt has not run and is
+   * no longer in flight, so that a reply without an id needs proof that it is the answer.
+   */
+  public final boolean refusalNeedsProof;
+
   /** The connection that it was assigned to, null while it waits for one. */
   ServerConnection connection;
 
@@ -26,10 +32,12 @@
   /** Whether its outcome is settled; a later reply is dropped. */
   private boolean settled;
 
-  protected Attempt(long server, long deadlineNanos, boolean unrepeatable) {
+  protected Attempt(
+      long server, long deadlineNanos, boolean unrepeatable, boolean refusalNeedsProof) {
     this.server = server;
     this.deadlineNanos = deadlineNanos;
     this.unrepeatable = unrepeatable;
+    this.refusalNeedsProof = refusalNeedsProof;
   }
 
   /** Returns the command to write. */
--- a/src/main/java/beamspread/node/server/AttemptListener.java
+++ b/src/main/java/beamspread/node/server/AttemptListener.java
@@ -17,6 +17,13 @@
   /** Called when an attempt ended without an answer, or with one that can't be served. */
   void attemptEnded(Attempt attempt, Outcome.Result result);
 
+  /**
+   * Called when a server has sent a reply that answers no command.
+   *
+   * @param connection describes the connection and the requests that await an answer on it
+   */
+  void unsolicitedReply(String connection);
+
   /** Called for a reply to an attempt, which may be settled by now. */
   void replyReceived(Attempt attempt, MetaReply reply);
 
--- /dev/null
+++ b/src/main/java/beamspread/node/server/ReplyStatistics.java
@@ -0,0 +1,55 @@
+package beamspread.node.server;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+
+/**
+ * Counts replies of cache servers that answer nothing, and what became of refusals of attempts that
+ * must not be repeated. All times are of {@link System#nanoTime}.
+ */
+public final class ReplyStatistics {
+  /** How long after an unsolicited reply refusals are not believed without full proof. */
+  private static final long SUSPICION_NANOS = 60_000_000_000L;
+
+  private long unsolicited;
+  private long lastUnsolicitedAt;
+  private long proven;
+  private long closed;
+  private long unproven;
+
+  /** Records a reply that answers nothing. */
+  void recordUnsolicited(long now) {
+    unsolicited++;
+    lastUnsolicitedAt = now;
+  }
+
+  /** Records a refusal that the reply to a no-op has proven. */
+  void recordProven() {
+    proven++;
+  }
+
+  /** Records a refusal that the server's close right behind it has confirmed. */
+  void recordClosed() {
+    closed++;
+  }
+
+  /** Records a refusal that may not have been the answer, so that the request may have run. */
+  void recordUnproven() {
+    unproven++;
+  }
+
+  /** Returns whether a cache server has lately sent a reply that answers nothing. */
+  boolean isUnsolicitedLikely(long now) {
+    return unsolicited > 0 && now - lastUnsolicitedAt < SUSPICION_NANOS;
+  }
+
+  /** Writes the field {@code replies} of the status. */
+  public void write(JsonGenerator json) throws IOException {
+    json.writeObjectFieldStart("replies");
+    json.writeNumberField("unsolicited", unsolicited);
+    json.writeNumberField("refusals_proven", proven);
+    json.writeNumberField("refusals_closed", closed);
+    json.writeNumberField("refusals_unproven", unproven);
+    json.writeEndObject();
+  }
+}
--- a/src/main/java/beamspread/node/server/ServerConnection.java
+++ b/src/main/java/beamspread/node/server/ServerConnection.java
@@ -3,9 +3,11 @@
 import beamspread.loop.SocketPolling;
 import beamspread.model.Outcome;
 import beamspread.node.wire.MetaReply;
+import beamspread.node.wire.NoOpReply;
 import beamspread.node.wire.ValuePart;
 import beamspread.pool.Pools;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -13,19 +15,30 @@
 import io.netty.handler.codec.DecoderException;
 import java.io.IOException;
 import java.net.SocketAddress;
-import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 
 /**
- * The socket of one connection to a cache server. Answers arrive in the order of the commands; each
- * is matched with the oldest attempt in flight.
+ * The socket of one connection to a cache server. {@link ReplyQueue} tells which command a reply
+ * answers. A line without an id proves nothing of an attempt that must not be repeated: it counts
+ * once the reply to a no-op that is sent behind it has come, or once the server has closed the
+ * connection right behind it.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter implements ValueSource {
+  /** How soon after a refusal a server closes the connection that it does not want to keep. */
+  private static final long REFUSAL_CLOSE_NANOS = 5_000_000L;
+
+  /** Lines without an id after which a connection is no longer used: nothing proves them. */
+  private static final int MAX_UNIDENTIFIED = 16;
+
+  private static final String NO_OP = "mn\r\n";
+
   final long id;
   private final Pools<Attempt> pools;
   private final AttemptListener listener;
+  private final ReplyStatistics statistics;
   private final Runnable onClosed;
   private final MetaReply.Decoder decoder = new MetaReply.Decoder();
-  private final ArrayDeque<Attempt> inFlight = new ArrayDeque<>();
+  private final ReplyQueue<Attempt> replies = new ReplyQueue<>();
   private Channel channel;
 
   /** When data of the current incomplete reply last arrived, 0 if there is none. */
@@ -34,8 +47,8 @@
   /** The decoder's read count at the last check. */
   private long readsAtLastCheck;
 
-  /** Whether a large value is being received for the oldest attempt. */
-  private boolean streaming;
+  /** The attempt whose large value is being received, null if there is none. */
+  private Attempt streamingAttempt;
 
   /** Whether the attempt was still awaited when the value's head arrived. */
   private boolean valueAwaited;
@@ -43,16 +56,33 @@
   /** Receiver of the large value, null to drop it. */
   private ValueSink sink;
 
-  /** Request id of the last answer, to recognize a duplicate of it. */
+  /** Request id of the last identified answer, to recognize a duplicate of it. */
   private String lastAnsweredId;
 
+  /** A refusal that a close of the connection right behind it confirms, null if there is none. */
+  private ReplyQueue.Answer<Attempt> refusal;
+
+  private long refusedAt;
+
+  /** Whether proof of the lines received so far was asked for; it is asked for only once. */
+  private boolean proofRequested;
+
+  /** Whether the connection has failed, as opposed to an orderly close. */
+  private boolean failed;
+
   /** Whether it was closed because of invalid data. */
   private boolean protocolError;
 
   private boolean closed;
 
-  ServerConnection(long id, Pools<Attempt> pools, AttemptListener listener, Runnable onClosed) {
+  ServerConnection(
+      long id,
+      Pools<Attempt> pools,
+      AttemptListener listener,
+      ReplyStatistics statistics,
+      Runnable onClosed) {
     this.id = id;
+    this.statistics = statistics;
     this.onClosed = onClosed;
     this.pools = pools;
     this.listener = listener;
@@ -72,7 +102,12 @@
   void write(Attempt attempt) {
     attempt.connection = this;
     attempt.writtenAt = System.nanoTime();
-    inFlight.add(attempt);
+    if (attempt.refusalNeedsProof && !replies.isAligned() && !replies.hasUnanswered()) {
+      // Its reply tells lines that came before the attempt from the attempt's own answer.
+      replies.addNoOp();
+      writeNoOp();
+    }
+    replies.addAttempt(attempt, attempt.command().request.id(), attempt.refusalNeedsProof);
     long millis = (attempt.deadlineNanos - attempt.writtenAt + 999_999) / 1_000_000;
     ChannelFuture written =
         channel.writeAndFlush(attempt.command().encode(channel.alloc(), millis));
@@ -83,10 +118,16 @@
     }
   }
 
+  private void writeNoOp() {
+    channel.write(ByteBufUtil.writeAscii(channel.alloc(), NO_OP));
+  }
+
   private void written(Attempt attempt, boolean complete) {
     attempt.fullyWritten = complete;
     if (complete) {
       listener.attemptWritten(attempt);
+    } else {
+      failed = true;
     }
   }
 
@@ -97,7 +138,7 @@
 
   /** Returns whether an attempt is in flight here. */
   boolean hasInFlight(Attempt attempt) {
-    return inFlight.contains(attempt);
+    return attempt == streamingAttempt || replies.isUnanswered(attempt);
   }
 
   @Override
@@ -105,57 +146,185 @@
     pools.dataReceived(System.nanoTime(), id);
     if (message instanceof ValuePart part) {
       handleValuePart(part);
+    } else if (message instanceof NoOpReply) {
+      handleNoOpReply();
+    } else {
+      MetaReply reply = (MetaReply) message;
+      try {
+        handleReply(reply);
+      } finally {
+        reply.release();
+      }
+    }
+  }
+
+  private void handleReply(MetaReply reply) {
+    if (closed || protocolError) {
       return;
     }
-    MetaReply reply = (MetaReply) message;
-    try {
-      handleReply(reply);
-    } finally {
-      reply.release();
+    if (reply.id() == null) {
+      handleUnidentified(reply);
+    } else {
+      handleIdentified(reply);
     }
   }
 
-  private void handleReply(MetaReply reply) {
+  /** Handles a line without an id, which need not be the answer to any command. */
+  private void handleUnidentified(MetaReply line) {
+    boolean aligned = replies.isAligned();
+    ReplyQueue.Line<Attempt> use = replies.lineReceived(line);
+    refusal = null;
+    switch (use.use()) {
+      case ANSWERED -> {
+        answered(use.attempt(), line);
+        if (replies.unidentifiedCount() >= MAX_UNIDENTIFIED) {
+          pools.retireConnection(id);
+        }
+      }
+      case UNPROVEN -> awaitProof(use.attempt(), line, aligned);
+      case UNSOLICITED -> {
+        recordUnsolicited();
+        if (!replies.hasUnanswered()) {
+          closeForProtocolError();
+        }
+      }
+      case NO_OP -> {
+        // A server that refuses no-ops; the next identified reply shows what the line answers.
+      }
+    }
+  }
+
+  /**
+   * Waits for what shows whether a line answers an attempt: an identified reply, the close that
+   * follows a refusal, or the reply to a no-op, which is sent if neither comes soon.
+   */
+  private void awaitProof(Attempt attempt, MetaReply line, boolean aligned) {
+    if (aligned && line.result() == Outcome.Result.FULL) {
+      refusal = new ReplyQueue.Answer<>(attempt, line);
+      refusedAt = System.nanoTime();
+    }
+    if (!proofRequested) {
+      proofRequested = true;
+      channel.eventLoop().schedule(this::requestProof, REFUSAL_CLOSE_NANOS, TimeUnit.NANOSECONDS);
+    }
+  }
+
+  /** Sends no-ops, unless the attempt has its answer by now; nothing is written behind them. */
+  private void requestProof() {
+    if (closed || protocolError || !replies.hasUnprovenLine()) {
+      proofRequested = false;
+      return;
+    }
+    pools.retireConnection(id);
+    for (int i = replies.addProvingNoOps(); i > 0; i--) {
+      writeNoOp();
+    }
+    channel.flush();
+  }
+
+  private void handleNoOpReply() {
     if (closed || protocolError) {
       return;
     }
-    Attempt oldest = inFlight.peek();
-    boolean matches = oldest != null && reply.matches(oldest.command());
-    if (!matches && reply.id() != null && reply.id().equals(lastAnsweredId)) {
+    ReplyQueue.Match<Attempt> match = replies.noOpReceived();
+    if (match == null) {
+      recordUnsolicited();
+      closeForProtocolError();
+    } else {
+      handleEarlier(match);
+    }
+  }
+
+  private void handleIdentified(MetaReply reply) {
+    ReplyQueue.Match<Attempt> match = replies.identifiedReceived(reply.id());
+    if (match == null && reply.id().equals(lastAnsweredId)) {
       // A duplicate answer is dropped. Attempts in flight may still be answered, but nothing more
       // is written to a peer that has lost track.
       pools.retireConnection(id);
       return;
     }
-    if (!matches) {
-      // Closes the connection rather than serve one request with another's answer: no later reply
-      // on it can be matched reliably.
+    if (match == null) {
       closeForProtocolError();
       return;
     }
-    if (reply.followingBytes() > 0) {
-      streaming = true;
-      valueAwaited = !oldest.isSettled();
-      pools.streamingStarted(System.nanoTime(), id, oldest.writtenAt);
-      sink = listener.valueStarted(oldest, reply, this);
-      return;
+    lastAnsweredId = reply.id();
+    if (!handleEarlier(match)) {
+      endUnanswered(match.attempt());
+    } else if (match.attempt() != null && !reply.fits(match.attempt().command())) {
+      endUnanswered(match.attempt());
+      closeForProtocolError();
+    } else if (match.attempt() != null && reply.followingBytes() > 0) {
+      startStreaming(match.attempt(), reply);
+    } else if (match.attempt() != null) {
+      answered(match.attempt(), reply);
     }
-    // Removed from the queue first, so that what the answer triggers sees the current state.
-    inFlight.poll();
-    lastAnsweredId = oldest.command().request.id();
+  }
+
+  /**
+   * Settles the attempts before an identified reply. Closes the connection rather than serve one
+   * request with another's answer if a reply is missing: no later one can be matched reliably.
+   *
+   * @return whether the connection goes on
+   */
+  private boolean handleEarlier(ReplyQueue.Match<Attempt> match) {
+    refusal = null;
+    if (match.unsolicited()) {
+      recordUnsolicited();
+      pools.retireConnection(id);
+    }
+    if (match.answerMissing()) {
+      match.earlier().forEach(answer -> endUnanswered(answer.attempt()));
+      closeForProtocolError();
+      return false;
+    }
+    for (ReplyQueue.Answer<Attempt> answer : match.earlier()) {
+      if (answer.line() == null) {
+        statistics.recordUnproven();
+        endUnanswered(answer.attempt());
+      } else {
+        statistics.recordProven();
+        answered(answer.attempt(), answer.line());
+      }
+    }
+    return true;
+  }
+
+  private void recordUnsolicited() {
+    statistics.recordUnsolicited(System.nanoTime());
+    listener.unsolicitedReply(
+        "connection %d to %s, %d attempts in flight, last answer to %s"
+            .formatted(id, channel.remoteAddress(), replies.unansweredCount(), lastAnsweredId));
+  }
+
+  private void answered(Attempt attempt, MetaReply reply) {
+    // Removed from the queue before, so that what the answer triggers sees the current state.
     boolean serverBusy = reply.result() == Outcome.Result.FULL;
+    recordEnd(attempt, !attempt.isSettled(), serverBusy);
+    listener.replyReceived(attempt, reply);
+  }
+
+  /** Ends an attempt that a server may have run, and whose answer can't be told. */
+  private void endUnanswered(Attempt attempt) {
+    if (attempt != null) {
+      recordEnd(attempt, !attempt.isSettled(), false);
+      listener.attemptEnded(attempt, Outcome.Result.SPOILT);
+    }
+  }
+
+  private void recordEnd(Attempt attempt, boolean awaited, boolean serverBusy) {
     pools.attemptAnswered(
-        System.nanoTime(),
-        id,
-        oldest.writtenAt,
-        !oldest.isSettled(),
-        oldest.unrepeatable,
-        serverBusy);
-    listener.replyReceived(oldest, reply);
+        System.nanoTime(), id, attempt.writtenAt, awaited, attempt.unrepeatable, serverBusy);
+  }
+
+  private void startStreaming(Attempt attempt, MetaReply head) {
+    streamingAttempt = attempt;
+    valueAwaited = !attempt.isSettled();
+    pools.streamingStarted(System.nanoTime(), id, attempt.writtenAt);
+    sink = listener.valueStarted(attempt, head, this);
   }
 
   private void handleValuePart(ValuePart part) {
-    if (closed || protocolError || !streaming) {
+    if (closed || protocolError || streamingAttempt == null) {
       part.bytes().release();
       return;
     }
@@ -167,11 +336,9 @@
     if (part.last()) {
       ValueSink completedSink = sink;
       sink = null;
-      streaming = false;
-      Attempt attempt = inFlight.poll();
-      lastAnsweredId = attempt.command().request.id();
-      pools.attemptAnswered(
-          System.nanoTime(), id, attempt.writtenAt, valueAwaited, attempt.unrepeatable, false);
+      Attempt attempt = streamingAttempt;
+      streamingAttempt = null;
+      recordEnd(attempt, valueAwaited, false);
       if (completedSink != null) {
         completedSink.completed();
       }
@@ -186,7 +353,7 @@
 
   @Override
   public boolean isShared() {
-    return inFlight.size() > 1;
+    return replies.hasUnanswered();
   }
 
   /**
@@ -200,14 +367,14 @@
     }
     boolean incomplete = decoder.isIncomplete();
     long now = System.nanoTime();
-    if (!incomplete || streaming) {
+    if (!incomplete || streamingAttempt != null) {
       // The receiver of a large value decides how long it may take.
       incompleteSince = 0;
     } else if (incompleteSince == 0 || decoder.readCount() != readsAtLastCheck) {
       incompleteSince = now;
     }
     readsAtLastCheck = decoder.readCount();
-    if (incomplete && inFlight.isEmpty()) {
+    if (incomplete && streamingAttempt == null && !replies.hasUnanswered()) {
       closeForProtocolError();
     } else {
       pools.readCompleted(now, id, incomplete);
@@ -253,8 +420,9 @@
       sink.aborted();
       sink = null;
     }
+    confirmRefusalByClose();
     Outcome.Result result = protocolError ? Outcome.Result.SPOILT : Outcome.Result.RESET;
-    for (Attempt attempt = inFlight.poll(); attempt != null; attempt = inFlight.poll()) {
+    for (Attempt attempt : replies.removeUnanswered()) {
       // Only a command whose last byte was not passed to the socket has certainly not run.
       listener.attemptEnded(attempt, attempt.fullyWritten ? result : Outcome.Result.CONNECT_FAILED);
     }
@@ -262,12 +430,35 @@
     onClosed.run();
   }
 
+  /**
+   * Settles a refused attempt if the server has closed the connection right behind the line, as one
+   * does that has too many connections. Not once servers have sent lines that answer nothing: one
+   * of these and the end of a connection look the same.
+   */
+  private void confirmRefusalByClose() {
+    if (refusal == null) {
+      return;
+    }
+    long now = System.nanoTime();
+    if (failed
+        || protocolError
+        || now - refusedAt > REFUSAL_CLOSE_NANOS
+        || statistics.isUnsolicitedLikely(now)) {
+      statistics.recordUnproven();
+      return;
+    }
+    statistics.recordClosed();
+    replies.removeOldest();
+    answered(refusal.attempt(), refusal.line());
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (cause instanceof DecoderException) {
       closeForProtocolError();
       return;
     }
+    failed = true;
     if (!(cause instanceof IOException)) {
       listener.report("server connection", cause);
     }
--- a/src/main/java/beamspread/node/server/ServerPools.java
+++ b/src/main/java/beamspread/node/server/ServerPools.java
@@ -26,6 +26,7 @@
   private final Pools<Attempt> pools;
   private final Map<Long, SocketAddress> addresses = new HashMap<>();
   private final Map<Long, ServerConnection> connections = new HashMap<>();
+  private final ReplyStatistics replyStatistics = new ReplyStatistics();
   private long opened;
   private long failedOpens;
 
@@ -87,6 +88,11 @@
     return failedOpens;
   }
 
+  /** Returns the counts of replies that answer nothing and of refusals. */
+  public ReplyStatistics replyStatistics() {
+    return replyStatistics;
+  }
+
   /** Applies changed settings. */
   public void applySettings(PoolSettings settings) {
     pools.applySettings(settings);
@@ -136,7 +142,8 @@
   @Override
   public void open(long server, long connectionId) {
     ServerConnection connection =
-        new ServerConnection(connectionId, pools, listener, () -> connections.remove(connectionId));
+        new ServerConnection(
+            connectionId, pools, listener, replyStatistics, () -> connections.remove(connectionId));
     ChannelFuture future = connection.open(bootstrap, addresses.get(server));
     if (future.isDone()) {
       // Results are never reported to the pools from within one of their actions.
--- a/src/main/java/beamspread/node/wire/MetaReply.java
+++ b/src/main/java/beamspread/node/wire/MetaReply.java
@@ -33,14 +33,12 @@
     LoadReport loadReport) {
 
   /**
-   * Returns whether it can be the answer to this command: a value for a read, a receipt for a
-   * write.
+   * Returns whether this reply with the id of a command can be its answer: a value for a read, a
+   * receipt for a write, or an error.
    */
-  public boolean matches(MetaCommand command) {
+  public boolean fits(MetaCommand command) {
     return result != Outcome.Result.OK
-        ? id == null || id.equals(command.request.id())
-        : id.equals(command.request.id())
-            && (command.request.write() ? receipt != null : value != null || followingBytes > 0);
+        || (command.request.write() ? receipt != null : value != null || followingBytes > 0);
   }
 
   /** Encodes this successful reply for the client. */
@@ -71,7 +69,8 @@
 
   /**
    * Decodes replies from a cache server's connection: a {@link MetaReply} for each, followed by
-   * {@link ValuePart}s as they arrive if its value is too large to be held.
+   * {@link ValuePart}s as they arrive if its value is too large to be held; a {@link NoOpReply} for
+   * the reply to a no-op.
    */
   public static final class Decoder extends ByteToMessageDecoder {
     /**
@@ -123,6 +122,11 @@
           if (line == null) {
             return;
           }
+          line.nextWord();
+          if (line.is("MN")) {
+            out.add(NoOpReply.INSTANCE);
+            return;
+          }
           head = parse(line);
         }
         if (valueLength < 0) {
@@ -170,8 +174,8 @@
       }
     }
 
+    /** Parses a line whose first word is the current one. */
     private MetaReply parse(MetaLine line) throws MetaLine.MalformedException {
-      line.nextWord();
       Outcome.Result result = Outcome.Result.OK;
       valueLength = -1;
       boolean stored = line.is("HD");
--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -27,6 +27,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
@@ -85,6 +86,9 @@
     /** The connection of each received line, by the line's index. */
     private final List<LineSource> sources = new CopyOnWriteArrayList<>();
 
+    /** How many no-op commands were received; they are not among the lines. */
+    final AtomicInteger noOps = new AtomicInteger();
+
     volatile Function<String, String> script;
     private volatile ServerSocket listener;
 
@@ -92,14 +96,36 @@
      * A connection with the lock for writing to it. The lock is not the socket itself: close waits
      * for the socket's monitor, and so would wait for a peer that does not read.
      */
-    private record LineSource(Socket socket, Object writeLock) {
+    private static final class LineSource {
+      final Socket socket;
+      final Object writeLock = new Object();
+      private int unanswered;
+      private int heldNoOps;
+
+      LineSource(Socket socket) {
+        this.socket = socket;
+      }
+
+      /** Writes an answer, or a part of one. */
       void write(String text) throws IOException {
         // Taken once: after a whole answer the peer may end the connection, which closes the
         // socket.
         OutputStream out = socket.getOutputStream();
         out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        unanswered -= text.endsWith("\r\n") && unanswered > 0 ? 1 : 0;
+        for (; unanswered == 0 && heldNoOps > 0; heldNoOps--) {
+          out.write("MN\r\n".getBytes(StandardCharsets.ISO_8859_1));
+        }
         out.flush();
       }
+
+      /** Answers a no-op behind the commands before it. */
+      void answerNoOp() throws IOException {
+        heldNoOps++;
+        if (unanswered == 0) {
+          write("");
+        }
+      }
     }
 
     Server(Function<String, String> script) throws IOException {
@@ -133,6 +159,17 @@
       }
     }
 
+    /**
+     * Sends a line that answers nothing on the connection that the line of this index came from.
+     */
+    void sendUnsolicited(int line, String text) throws IOException {
+      LineSource to = sources.get(line);
+      synchronized (to.writeLock) {
+        to.unanswered++;
+        to.write(text + "\r\n");
+      }
+    }
+
     /** Closes the connection that this line came from; the line must be unique. */
     void closeConnectionOf(String line) throws IOException {
       sources.get(lines.indexOf(line)).socket.close();
@@ -197,7 +234,7 @@
     }
 
     private void serve(Socket socket) throws IOException {
-      LineSource source = new LineSource(socket, new Object());
+      LineSource source = new LineSource(socket);
       try (socket) {
         InputStream in = new BufferedInputStream(socket.getInputStream());
         for (String line = line(in); line != null; line = line(in)) {
@@ -207,10 +244,16 @@
           // A test that sees the line and sends on its connection must write after the script's
           // answer.
           synchronized (source.writeLock) {
+            if (line.equals("mn")) {
+              noOps.incrementAndGet();
+              source.answerNoOp();
+              continue;
+            }
             synchronized (this) {
               sources.add(source);
               lines.add(line);
             }
+            source.unanswered++;
             String answer = script.apply(line);
             if (answer != null) {
               source.write(answer);
--- /dev/null
+++ b/src/test/java/beamspread/node/RefusalProofTest.java
@@ -0,0 +1,170 @@
+package beamspread.node;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import beamspread.LeakCheck;
+import beamspread.model.Settings;
+import beamspread.node.wire.Json;
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.ExtendWith;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What shows that a refusal is the answer to an attempt that must not run twice, and what not. */
+@ExtendWith(LeakCheck.class)
+class RefusalProofTest {
+  private static final String REFUSAL = "SERVER_ERROR busy\r\n";
+
+  /** A node before two servers that answer nothing by themselves, and a client. */
+  private static final class Scenario implements AutoCloseable {
+    final Peers.Server one = new Peers.Server(line -> null);
+    final Peers.Server other = new Peers.Server(line -> null);
+    final Peers.Rig rig;
+    final Peers.Client client;
+
+    Scenario(boolean parallelAttempts) throws Exception {
+      Settings settings =
+          Peers.settings(
+              new Settings.Limits(
+                  6, parallelAttempts, true, false, false, false, 1, 2, 60, 32, 20000));
+      rig =
+          new Peers.Rig(
+              settings, Peers.poolSettings(settings, 256), new Peers.Server(l -> null), one, other);
+      client = rig.client();
+    }
+
+    /** Returns the server that receives the only copy of a request. */
+    Peers.Server awaitFirstCopy(int before) throws InterruptedException {
+      Peers.await("a server has it", () -> one.lines.size() + other.lines.size() > before);
+      return one.lines.size() + other.lines.size() == before + 1 && lastCopyAt(one) ? one : other;
+    }
+
+    private boolean lastCopyAt(Peers.Server server) {
+      return server.lines.stream().anyMatch(line -> line.contains(" O1 "));
+    }
+
+    String statusOfReplies() {
+      return Json.object(json -> rig.node.status().replies().write(json));
+    }
+
+    Peers.Server otherThan(Peers.Server server) {
+      return server == one ? other : one;
+    }
+
+    @Override
+    public void close() throws IOException {
+      client.close();
+      rig.close();
+      one.close();
+      other.close();
+    }
+  }
+
+  @Test
+  void answerBehindUnsolicitedLineIsServed() throws Exception {
+    try (Scenario scenario = new Scenario(true)) {
+      scenario.client.write("1");
+      Peers.Server server = scenario.awaitFirstCopy(0);
+      server.sendUnsolicited(0, "SERVER_ERROR busy");
+      Peers.await("the node asks for proof", () -> server.noOps.get() > 1);
+      server.send(0, Peers.successReply(server.lines.get(0)));
+      assertEquals("HD O1 c77", scenario.client.readLine());
+      assertThat(scenario.otherThan(server).lines).isEmpty();
+    }
+  }
+
+  @Test
+  void refusalBeforeNoOpReplyIsSentOn() throws Exception {
+    try (Scenario scenario = new Scenario(true)) {
+      scenario.client.write("1");
+      Peers.Server server = scenario.awaitFirstCopy(0);
+      scenario.otherThan(server).script = Peers::successReply;
+      server.send(0, REFUSAL);
+      assertEquals("HD O1 c77", scenario.client.readLine());
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void refusalIsSentOnIfServerClosesButNotIfItResets(boolean reset) throws Exception {
+    try (Scenario scenario = new Scenario(true)) {
+      scenario.client.write("1");
+      Peers.Server server = scenario.awaitFirstCopy(0);
+      scenario.otherThan(server).script = Peers::successReply;
+      server.send(0, REFUSAL);
+      server.closeConnectionOf(0, reset);
+      assertEquals(reset ? "SERVER_ERROR failed" : "HD O1 c77", scenario.client.readLine());
+    }
+  }
+
+  @Test
+  void closeBehindRefusalProvesNothingOnceLinesWereUnsolicited() throws Exception {
+    try (Scenario scenario = new Scenario(true)) {
+      scenario.client.write("1");
+      Peers.Server server = scenario.awaitFirstCopy(0);
+      server.sendUnsolicited(0, "ERROR");
+      server.send(0, Peers.successReply(server.lines.get(0)));
+      assertEquals("HD O1 c77", scenario.client.readLine());
+      scenario.client.write("2");
+      Peers.await(
+          "a server has it", () -> scenario.one.lines.size() + scenario.other.lines.size() > 1);
+      Peers.Server second =
+          scenario.one.lines.stream().anyMatch(line -> line.contains(" O2 "))
+              ? scenario.one
+              : scenario.other;
+      scenario.otherThan(second).script = Peers::successReply;
+      int index = second.lines.size() - 1;
+      second.send(index, REFUSAL);
+      second.closeConnectionOf(index, false);
+      assertEquals("SERVER_ERROR failed", scenario.client.readLine());
+      assertThat(scenario.one.lines.size() + scenario.other.lines.size()).isEqualTo(2);
+    }
+  }
+
+  @Test
+  void safeRequestHasNoSecondCopyBesideOneThatRunsWhereThatIsForbidden() throws Exception {
+    try (Scenario scenario = new Scenario(false)) {
+      scenario.client.read("1");
+      Peers.Server server = scenario.awaitFirstCopy(0);
+      server.sendUnsolicited(0, "SERVER_ERROR busy 15");
+      Peers.await("the node asks for proof", () -> server.noOps.get() > 1);
+      server.send(0, Peers.successReply(server.lines.get(0)));
+      assertEquals("VA 5 O1", scenario.client.readLine());
+      assertThat(scenario.otherThan(server).lines).isEmpty();
+    }
+  }
+
+  @Test
+  void statusCountsRepliesThatAnswerNothing() throws Exception {
+    try (Scenario scenario = new Scenario(true)) {
+      scenario.client.write("1");
+      Peers.Server server = scenario.awaitFirstCopy(0);
+      server.sendUnsolicited(0, "ERROR");
+      server.send(0, Peers.successReply(server.lines.get(0)));
+      assertEquals("HD O1 c77", scenario.client.readLine());
+      Peers.await(
+          "it is counted",
+          () -> scenario.statusOfReplies().contains("\"replies\":{\"unsolicited\":1,"));
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({"put,SERVER_ERROR failed", "keyed,SERVER_ERROR busy"})
+  void noCopyIsSentAfterRefusalsThatNothingProves(String serviceClass, String answer)
+      throws Exception {
+    try (Scenario scenario = new Scenario(true)) {
+      scenario.client.send("ms key-1 5 O1 Pc=" + serviceClass + ",d=300,k=1\r\nworld\r\n");
+      Peers.Server server = scenario.awaitFirstCopy(0);
+      for (String line : List.of("SERVER_ERROR busy", "ERROR", "SERVER_ERROR busy 3")) {
+        server.sendUnsolicited(0, line);
+      }
+      // All servers drop repeats of the keyed class, so that its clients may repeat the request.
+      assertEquals(answer, scenario.client.readLine());
+      assertThat(scenario.otherThan(server).lines).isEmpty();
+    }
+  }
+}
--- a/src/test/java/beamspread/node/server/StalledReplyTest.java
+++ b/src/test/java/beamspread/node/server/StalledReplyTest.java
@@ -63,6 +63,9 @@
       return true;
     }
 
+    @Override
+    public void unsolicitedReply(String connection) {}
+
     @Override
     public void attemptWritten(Attempt attempt) {}
 
@@ -92,7 +95,7 @@
     client.writeInbound(text("mg key v O1 Pc=read,d=500\r\n"));
     MetaCommand command = client.readInbound();
     client.finishAndReleaseAll();
-    return new Attempt(1, System.nanoTime() + MAX_STALL_NANOS, false) {
+    return new Attempt(1, System.nanoTime() + MAX_STALL_NANOS, false, false) {
       @Override
       protected MetaCommand command() {
         return command;
@@ -106,7 +109,8 @@
     PoolSettings settings =
         new PoolSettings(1, 0, 0, 8, 8, 1, 1, 0, 1, MAX_STALL_NANOS, 0, MAX_STALL_NANOS, 0);
     ServerConnection connection =
-        new ServerConnection(1, new Pools<>(settings, () -> 0, handlers), handlers, () -> {});
+        new ServerConnection(
+            1, new Pools<>(settings, () -> 0, handlers), handlers, new ReplyStatistics(), () -> {});
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
     EventLoop loop = group.next();
     CompletableFuture<Channel> accepted = new CompletableFuture<>();
