Server connections: refusals and stalled replies in types of their own; unproven lines logged

Refusal and ReplyStall take over what they keep; the log names the connection and the ids of its requests for each reply that answers nothing and each line that stays unproven. RefusalProofTest has the close behind a line from before the request.

--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -359,8 +359,8 @@
   }
 
   @Override
-  public void unsolicitedReply(String connection) {
-    log.info("a cache server sent a reply that answers no request, " + connection);
+  public void replyProblem(String description) {
+    log.info(description);
   }
 
   @Override
--- a/src/main/java/beamspread/node/server/AttemptListener.java
+++ b/src/main/java/beamspread/node/server/AttemptListener.java
@@ -18,11 +18,11 @@
   void attemptEnded(Attempt attempt, Outcome.Result result);
 
   /**
-   * Called when a server has sent a reply that answers no command.
+   * Called when it is not certain which command a reply answers, if any.
    *
-   * @param connection describes the connection and the requests that await an answer on it
+   * @param description what was received, and on which connection
    */
-  void unsolicitedReply(String connection);
+  void replyProblem(String description);
 
   /** Called for a reply to an attempt, which may be settled by now. */
   void replyReceived(Attempt attempt, MetaReply reply);
--- a/src/main/java/beamspread/node/server/ReplyQueue.java
+++ b/src/main/java/beamspread/node/server/ReplyQueue.java
@@ -118,10 +118,12 @@
     return false;
   }
 
-  int unansweredCount() {
-    return (int) commands.stream().filter(Command::isUnanswered).count();
+  /** Returns the attempts that await their answer, oldest first. */
+  List<A> unanswered() {
+    return commands.stream().filter(Command::isUnanswered).map(command -> command.attempt).toList();
   }
 
+  /** Returns whether this attempt awaits its answer. */
   boolean isUnanswered(A attempt) {
     return commands.stream().anyMatch(c -> c.attempt == attempt && c.isUnanswered());
   }
@@ -215,8 +217,7 @@
 
   /** Removes all commands and returns the unanswered attempts, oldest first. */
   List<A> removeUnanswered() {
-    List<A> unanswered =
-        commands.stream().filter(Command::isUnanswered).map(command -> command.attempt).toList();
+    List<A> unanswered = unanswered();
     commands.clear();
     lines.clear();
     return unanswered;
--- a/src/main/java/beamspread/node/server/ReplyStatistics.java
+++ b/src/main/java/beamspread/node/server/ReplyStatistics.java
@@ -23,7 +23,7 @@
     lastUnsolicitedAt = now;
   }
 
-  /** Records a refusal that the reply to a no-op has proven. */
+  /** Records a line that an identified reply has proven to be the answer. */
   void recordProven() {
     proven++;
   }
@@ -33,7 +33,7 @@
     closed++;
   }
 
-  /** Records a refusal that may not have been the answer, so that the request may have run. */
+  /** Records a line that may not have been the answer, so that the request may have run. */
   void recordUnproven() {
     unproven++;
   }
@@ -47,9 +47,9 @@
   public void write(JsonGenerator json) throws IOException {
     json.writeObjectFieldStart("replies");
     json.writeNumberField("unsolicited", unsolicited);
-    json.writeNumberField("refusals_proven", proven);
-    json.writeNumberField("refusals_closed", closed);
-    json.writeNumberField("refusals_unproven", unproven);
+    json.writeNumberField("proven", proven);
+    json.writeNumberField("closed", closed);
+    json.writeNumberField("unproven", unproven);
     json.writeEndObject();
   }
 }
--- a/src/main/java/beamspread/node/server/ServerConnection.java
+++ b/src/main/java/beamspread/node/server/ServerConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.DecoderException;
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -24,9 +25,6 @@
  * connection right behind it.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter implements ValueSource {
-  /** How soon after a refusal a server closes the connection that it does not want to keep. */
-  private static final long REFUSAL_CLOSE_NANOS = 5_000_000L;
-
   /** Lines without an id after which a connection is no longer used: nothing proves them. */
   private static final int MAX_UNIDENTIFIED = 16;
 
@@ -39,14 +37,9 @@
   private final Runnable onClosed;
   private final MetaReply.Decoder decoder = new MetaReply.Decoder();
   private final ReplyQueue<Attempt> replies = new ReplyQueue<>();
+  private final ReplyStall stall = new ReplyStall();
   private Channel channel;
 
-  /** When data of the current incomplete reply last arrived, 0 if there is none. */
-  private long incompleteSince;
-
-  /** The decoder's read count at the last check. */
-  private long readsAtLastCheck;
-
   /** The attempt whose large value is being received, null if there is none. */
   private Attempt streamingAttempt;
 
@@ -60,9 +53,7 @@
   private String lastAnsweredId;
 
   /** A refusal that a close of the connection right behind it confirms, null if there is none. */
-  private ReplyQueue.Answer<Attempt> refusal;
-
-  private long refusedAt;
+  private Refusal refusal;
 
   /** Whether proof of the lines received so far was asked for; it is asked for only once. */
   private boolean proofRequested;
@@ -200,12 +191,11 @@
    */
   private void awaitProof(Attempt attempt, MetaReply line, boolean aligned) {
     if (aligned && line.result() == Outcome.Result.FULL) {
-      refusal = new ReplyQueue.Answer<>(attempt, line);
-      refusedAt = System.nanoTime();
+      refusal = new Refusal(attempt, line, System.nanoTime());
     }
     if (!proofRequested) {
       proofRequested = true;
-      channel.eventLoop().schedule(this::requestProof, REFUSAL_CLOSE_NANOS, TimeUnit.NANOSECONDS);
+      channel.eventLoop().schedule(this::requestProof, Refusal.CLOSE_NANOS, TimeUnit.NANOSECONDS);
     }
   }
 
@@ -279,7 +269,7 @@
     }
     for (ReplyQueue.Answer<Attempt> answer : match.earlier()) {
       if (answer.line() == null) {
-        statistics.recordUnproven();
+        recordUnproven();
         endUnanswered(answer.attempt());
       } else {
         statistics.recordProven();
@@ -291,9 +281,16 @@
 
   private void recordUnsolicited() {
     statistics.recordUnsolicited(System.nanoTime());
-    listener.unsolicitedReply(
-        "connection %d to %s, %d attempts in flight, last answer to %s"
-            .formatted(id, channel.remoteAddress(), replies.unansweredCount(), lastAnsweredId));
+    listener.replyProblem("a cache server sent a reply that answers no request: " + this);
+  }
+
+  /** Describes the connection for the log, with the requests in flight on it. */
+  @Override
+  public String toString() {
+    List<String> requestIds =
+        replies.unanswered().stream().map(attempt -> attempt.command().request.id()).toList();
+    return "connection %d to %s, in flight %s, last answered %s"
+        .formatted(id, channel.remoteAddress(), requestIds, lastAnsweredId);
   }
 
   private void answered(Attempt attempt, MetaReply reply) {
@@ -367,13 +364,8 @@
     }
     boolean incomplete = decoder.isIncomplete();
     long now = System.nanoTime();
-    if (!incomplete || streamingAttempt != null) {
-      // The receiver of a large value decides how long it may take.
-      incompleteSince = 0;
-    } else if (incompleteSince == 0 || decoder.readCount() != readsAtLastCheck) {
-      incompleteSince = now;
-    }
-    readsAtLastCheck = decoder.readCount();
+    // The receiver of a large value decides how long it may take.
+    stall.readCompleted(incomplete && streamingAttempt == null, decoder.readCount(), now);
     if (incomplete && streamingAttempt == null && !replies.hasUnanswered()) {
       closeForProtocolError();
     } else {
@@ -393,15 +385,13 @@
 
   /**
    * Closes the connection if a reply has begun and does not continue: a line without CRLF, a length
-   * beyond the value, or a machine that vanished halfway. The limit applies between two pieces,
-   * since slow servers write small ones; the total time is bounded by the deadlines of the
-   * attempts.
+   * beyond the value, or a machine that vanished halfway. The total time is bounded by the
+   * deadlines of the attempts.
    */
   void closeIfStalled(long now, long maxStallNanos) {
-    long observedSince = incompleteSince;
-    if (observedSince != 0 && now - observedSince > maxStallNanos && !closed) {
+    if (stall.exceeds(now, maxStallNanos) && !closed) {
       readNow();
-      if (incompleteSince == observedSince && !closed) {
+      if (stall.exceeds(now, maxStallNanos) && !closed) {
         closeForProtocolError();
       }
     }
@@ -436,20 +426,27 @@
    * of these and the end of a connection look the same.
    */
   private void confirmRefusalByClose() {
-    if (refusal == null) {
+    if (!replies.hasUnprovenLine()) {
       return;
     }
     long now = System.nanoTime();
-    if (failed
-        || protocolError
-        || now - refusedAt > REFUSAL_CLOSE_NANOS
-        || statistics.isUnsolicitedLikely(now)) {
-      statistics.recordUnproven();
-      return;
+    if (refusal != null
+        && !failed
+        && !protocolError
+        && refusal.isFollowedByCloseAt(now)
+        && !statistics.isUnsolicitedLikely(now)) {
+      statistics.recordClosed();
+      replies.removeOldest();
+      answered(refusal.attempt(), refusal.line());
+    } else {
+      recordUnproven();
     }
-    statistics.recordClosed();
-    replies.removeOldest();
-    answered(refusal.attempt(), refusal.line());
+  }
+
+  private void recordUnproven() {
+    statistics.recordUnproven();
+    listener.replyProblem(
+        "an answer without an id is not proven, its request may have run: " + this);
   }
 
   @Override
--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -528,6 +528,12 @@
           SETTINGS);
     }
 
+    /** Starts a node with servers at these addresses. */
+    Rig(ClientConnections.Limits limits, int sockets, List<InetSocketAddress> servers)
+        throws IOException, InterruptedException {
+      this(limits, poolSettings(SETTINGS, sockets), servers);
+    }
+
     /** Starts a node with servers at these addresses and the given bounds on its connections. */
     Rig(ClientConnections.Limits limits, PoolSettings pool, List<InetSocketAddress> servers)
         throws IOException, InterruptedException {
--- a/src/test/java/beamspread/node/RefusalProofTest.java
+++ b/src/test/java/beamspread/node/RefusalProofTest.java
@@ -1,13 +1,23 @@
 package beamspread.node;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import beamspread.LeakCheck;
 import beamspread.model.Settings;
+import beamspread.node.client.ClientConnections;
 import beamspread.node.wire.Json;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -167,4 +177,54 @@
       assertThat(scenario.otherThan(server).lines).isEmpty();
     }
   }
+
+  /** The line stands where the refusal of a new connection would, but came before the request. */
+  @Test
+  void closeBehindLineFromBeforeTheRequestProvesNothing() throws Exception {
+    List<String> begun = new CopyOnWriteArrayList<>();
+    try (ServerSocket lying = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Peers.Server good = new Peers.Server(Peers::successReply);
+        Peers.Rig rig =
+            new Peers.Rig(
+                ClientConnections.Limits.defaults(50),
+                64,
+                List.of((InetSocketAddress) lying.getLocalSocketAddress(), good.address()));
+        Peers.Client client = rig.client()) {
+      Thread server = new Thread(() -> refuseFirstThenRun(lying, begun));
+      server.setDaemon(true);
+      server.start();
+      List<String> failed = new ArrayList<>();
+      for (int i = 0; i < 100 && failed.isEmpty(); i++) {
+        String answer = client.write(Integer.toString(i)).readLine();
+        if (!answer.equals("HD O" + i + " c77")) {
+          assertEquals("SERVER_ERROR failed", answer);
+          failed.add(Integer.toString(i));
+        }
+      }
+      assertThat(failed).isEqualTo(begun).isNotEmpty();
+    }
+  }
+
+  /** Refuses each connection before it reads a request, and closes it while the request runs. */
+  private static void refuseFirstThenRun(ServerSocket listener, List<String> begun) {
+    try {
+      while (true) {
+        try (Socket socket = listener.accept()) {
+          socket.getOutputStream().write(REFUSAL.getBytes(US_ASCII));
+          BufferedReader in =
+              new BufferedReader(new InputStreamReader(socket.getInputStream(), US_ASCII));
+          String line = in.readLine();
+          while (line != null && !line.startsWith("ms ")) {
+            line = in.readLine();
+          }
+          if (line != null) {
+            in.readLine();
+            begun.add(Peers.flagValue(line, 'O'));
+          }
+        }
+      }
+    } catch (IOException e) {
+      // The test has ended.
+    }
+  }
 }
--- a/src/test/java/beamspread/node/RequestRunTwiceTest.java
+++ b/src/test/java/beamspread/node/RequestRunTwiceTest.java
@@ -110,12 +110,12 @@
         try {
           Message replies = node.status().nested("replies");
           counts.add(
-              "%.0f unsolicited, refusals %.0f proven, %.0f closed, %.0f unproven"
+              "%.0f unsolicited, %.0f proven, %.0f closed, %.0f unproven"
                   .formatted(
                       replies.number("unsolicited", 0),
-                      replies.number("refusals_proven", 0),
-                      replies.number("refusals_closed", 0),
-                      replies.number("refusals_unproven", 0)));
+                      replies.number("proven", 0),
+                      replies.number("closed", 0),
+                      replies.number("unproven", 0)));
         } catch (IOException | WireException e) {
           counts.add("stopped");
         }
--- a/src/test/java/beamspread/node/server/StalledReplyTest.java
+++ b/src/test/java/beamspread/node/server/StalledReplyTest.java
@@ -64,7 +64,7 @@
     }
 
     @Override
-    public void unsolicitedReply(String connection) {}
+    public void replyProblem(String description) {}
 
     @Override
     public void attemptWritten(Attempt attempt) {}
