--- a/src/test/java/beamspread/node/RefusalProofTest.java
+++ b/src/test/java/beamspread/node/RefusalProofTest.java
@@ -178,9 +178,10 @@
     }
   }
 
-  /** The line stands where the refusal of a new connection would, but came before the request. */
-  @Test
-  void closeBehindLineFromBeforeTheRequestProvesNothing() throws Exception {
+  /** The lines stand where the refusal of a new connection would, but came before the request. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2})
+  void closeBehindLinesFromBeforeTheRequestProvesNothing(int lines) throws Exception {
     List<String> begun = new CopyOnWriteArrayList<>();
     try (ServerSocket lying = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         Peers.Server good = new Peers.Server(Peers::successReply);
@@ -190,7 +191,7 @@
                 64,
                 List.of((InetSocketAddress) lying.getLocalSocketAddress(), good.address()));
         Peers.Client client = rig.client()) {
-      Thread server = new Thread(() -> refuseFirstThenRun(lying, begun));
+      Thread server = new Thread(() -> refuseFirstThenRun(lying, lines, begun));
       server.setDaemon(true);
       server.start();
       List<String> failed = new ArrayList<>();
@@ -206,11 +207,11 @@
   }
 
   /** Refuses each connection before it reads a request, and closes it while the request runs. */
-  private static void refuseFirstThenRun(ServerSocket listener, List<String> begun) {
+  private static void refuseFirstThenRun(ServerSocket listener, int lines, List<String> begun) {
     try {
       while (true) {
         try (Socket socket = listener.accept()) {
-          socket.getOutputStream().write(REFUSAL.getBytes(US_ASCII));
+          socket.getOutputStream().write(REFUSAL.repeat(lines).getBytes(US_ASCII));
           BufferedReader in =
               new BufferedReader(new InputStreamReader(socket.getInputStream(), US_ASCII));
           String line = in.readLine();
