--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -541,7 +541,7 @@
   public static int rehearse() {
     try {
       Log log = new Log("rehearsal", false);
-      int sent = Rehearsal.run(Rehearsal.sampleConfig(true), log);
+      int served = Rehearsal.run(Rehearsal.sampleConfig(true), log);
       SighupHandler.register(() -> {});
       Node node = new Node(Rehearsal.sampleConfig(false));
       try {
@@ -558,7 +558,7 @@
       } finally {
         node.close();
       }
-      return sent > 0 ? 0 : 1;
+      return served > 0 ? 0 : 1;
     } catch (WireException e) {
       throw new IllegalStateException(e);
     } catch (IOException | InterruptedException e) {
--- a/src/main/java/beamspread/node/Rehearsal.java
+++ b/src/main/java/beamspread/node/Rehearsal.java
@@ -1,5 +1,6 @@
 package beamspread.node;
 
+import beamspread.model.Outcome;
 import beamspread.model.ServerEntry;
 import beamspread.model.Settings;
 import beamspread.node.client.ClientConnections;
@@ -67,6 +68,8 @@
   private final CountDownLatch requestsDone = new CountDownLatch(1);
   private final CountDownLatch callsDone = new CountDownLatch(MANAGEMENT_PATHS.size());
   private int sent;
+  private int answered;
+  private int failed;
 
   private Rehearsal(NodeConfig config, Path folder) {
     this.config = config;
@@ -75,7 +78,7 @@
 
   /**
    * Runs the rehearsal with the settings of this configuration; returns how many requests were
-   * sent.
+   * served.
    */
   static int run(NodeConfig config, Log log) {
     Path folder = null;
@@ -206,7 +209,7 @@
     } finally {
       node.close();
     }
-    return sent;
+    return answered - failed;
   }
 
   private static void listen(EventLoop loop, SocketAddress at, Consumer<ChannelPipeline> handlers)
@@ -238,7 +241,7 @@
       MetaCommand command = (MetaCommand) message;
       command.release();
       if (command.request == null) {
-        ctx.close();
+        write(ctx, command.immediateReply + "\r\n");
       } else if (command.request.write()) {
         write(ctx, "HD O" + command.request.id() + " c1\r\n");
       } else {
@@ -324,10 +327,12 @@
         if (reply.followingBytes() > 0) {
           return;
         }
+        failed += reply.result() == Outcome.Result.OK ? 0 : 1;
       }
+      answered++;
       if (sent < REQUESTS) {
         sendNext(ctx);
-      } else {
+      } else if (answered == REQUESTS) {
         requestsDone.countDown();
       }
     }
--- a/src/test/java/beamspread/node/RehearsalTest.java
+++ b/src/test/java/beamspread/node/RehearsalTest.java
@@ -16,7 +16,7 @@
 @ExtendWith(LeakCheck.class)
 class RehearsalTest {
   @Test
-  void sendsAllRequests() throws Exception {
+  void servesAllRequests() throws Exception {
     assertEquals(
         Rehearsal.REQUESTS,
         Rehearsal.run(Rehearsal.sampleConfig(true), new Log("rehearsal", false)));
