A flood of lines without an id ends its connection; tests read lines in one place

Found on reading the change again: ReplyQueue kept each line that answers nothing while an attempt was in flight, without a bound, so that a cache server that never stops writing them would have filled the node's memory. A connection with more than 16 such lines than can be placed ends; its attempts may have run. The new test fails without it (the connection lives until the deadline).

--- a/src/main/java/beamspread/node/server/ServerConnection.java
+++ b/src/main/java/beamspread/node/server/ServerConnection.java
@@ -175,7 +175,7 @@
       case UNPROVEN -> awaitProof(use.attempt(), line, aligned);
       case UNSOLICITED -> {
         recordUnsolicited();
-        if (!replies.hasUnanswered()) {
+        if (!replies.hasUnanswered() || replies.unidentifiedCount() > MAX_UNIDENTIFIED) {
           closeForProtocolError();
         }
       }
--- a/src/test/java/beamspread/node/FaultyReplyServer.java
+++ b/src/test/java/beamspread/node/FaultyReplyServer.java
@@ -1,7 +1,6 @@
 package beamspread.node;
 
 import java.io.BufferedInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -221,7 +220,7 @@
 
     private void readCommands() throws IOException {
       InputStream in = new BufferedInputStream(socket.getInputStream());
-      for (String line = readLine(in); line != null; line = readLine(in)) {
+      for (String line = Peers.line(in); line != null; line = Peers.line(in)) {
         if (line.startsWith("ms ")) {
           in.readNBytes(Integer.parseInt(line.split(" ")[2]) + 2);
         }
@@ -282,15 +281,4 @@
       return reply.dueAt() - System.nanoTime();
     }
   }
-
-  private static String readLine(InputStream in) throws IOException {
-    ByteArrayOutputStream line = new ByteArrayOutputStream();
-    for (int b = in.read(); b >= 0; b = in.read()) {
-      if (b == '\n') {
-        return line.toString(StandardCharsets.ISO_8859_1).replace("\r", "");
-      }
-      line.write(b);
-    }
-    return null;
-  }
 }
--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -67,7 +67,8 @@
         : "HD O" + flagValue(command, 'O') + " c77\r\n";
   }
 
-  private static String line(InputStream in) throws IOException {
+  /** Reads a line without its end; null at the end of the stream. */
+  static String line(InputStream in) throws IOException {
     ByteArrayOutputStream line = new ByteArrayOutputStream();
     for (int b = in.read(); b >= 0; b = in.read()) {
       if (b == '\n') {
--- a/src/test/java/beamspread/node/RefusalProofTest.java
+++ b/src/test/java/beamspread/node/RefusalProofTest.java
@@ -48,13 +48,9 @@
     }
 
     /** Returns the server that receives the only copy of a request. */
-    Peers.Server awaitFirstCopy(int before) throws InterruptedException {
-      Peers.await("a server has it", () -> one.lines.size() + other.lines.size() > before);
-      return one.lines.size() + other.lines.size() == before + 1 && lastCopyAt(one) ? one : other;
-    }
-
-    private boolean lastCopyAt(Peers.Server server) {
-      return server.lines.stream().anyMatch(line -> line.contains(" O1 "));
+    Peers.Server awaitFirstCopy() throws InterruptedException {
+      Peers.await("a server has it", () -> one.lines.size() + other.lines.size() == 1);
+      return one.lines.isEmpty() ? other : one;
     }
 
     String statusOfReplies() {
@@ -78,7 +74,7 @@
   void answerBehindUnsolicitedLineIsServed() throws Exception {
     try (Scenario scenario = new Scenario(true)) {
       scenario.client.write("1");
-      Peers.Server server = scenario.awaitFirstCopy(0);
+      Peers.Server server = scenario.awaitFirstCopy();
       server.sendUnsolicited(0, "SERVER_ERROR busy");
       Peers.await("the node asks for proof", () -> server.noOps.get() > 1);
       server.send(0, Peers.successReply(server.lines.get(0)));
@@ -91,7 +87,7 @@
   void refusalBeforeNoOpReplyIsSentOn() throws Exception {
     try (Scenario scenario = new Scenario(true)) {
       scenario.client.write("1");
-      Peers.Server server = scenario.awaitFirstCopy(0);
+      Peers.Server server = scenario.awaitFirstCopy();
       scenario.otherThan(server).script = Peers::successReply;
       server.send(0, REFUSAL);
       assertEquals("HD O1 c77", scenario.client.readLine());
@@ -103,7 +99,7 @@
   void refusalIsSentOnIfServerClosesButNotIfItResets(boolean reset) throws Exception {
     try (Scenario scenario = new Scenario(true)) {
       scenario.client.write("1");
-      Peers.Server server = scenario.awaitFirstCopy(0);
+      Peers.Server server = scenario.awaitFirstCopy();
       scenario.otherThan(server).script = Peers::successReply;
       server.send(0, REFUSAL);
       server.closeConnectionOf(0, reset);
@@ -115,7 +111,7 @@
   void closeBehindRefusalProvesNothingOnceLinesWereUnsolicited() throws Exception {
     try (Scenario scenario = new Scenario(true)) {
       scenario.client.write("1");
-      Peers.Server server = scenario.awaitFirstCopy(0);
+      Peers.Server server = scenario.awaitFirstCopy();
       server.sendUnsolicited(0, "ERROR");
       server.send(0, Peers.successReply(server.lines.get(0)));
       assertEquals("HD O1 c77", scenario.client.readLine());
@@ -139,7 +135,7 @@
   void safeRequestHasNoSecondCopyBesideOneThatRunsWhereThatIsForbidden() throws Exception {
     try (Scenario scenario = new Scenario(false)) {
       scenario.client.read("1");
-      Peers.Server server = scenario.awaitFirstCopy(0);
+      Peers.Server server = scenario.awaitFirstCopy();
       server.sendUnsolicited(0, "SERVER_ERROR busy 15");
       Peers.await("the node asks for proof", () -> server.noOps.get() > 1);
       server.send(0, Peers.successReply(server.lines.get(0)));
@@ -152,7 +148,7 @@
   void statusCountsRepliesThatAnswerNothing() throws Exception {
     try (Scenario scenario = new Scenario(true)) {
       scenario.client.write("1");
-      Peers.Server server = scenario.awaitFirstCopy(0);
+      Peers.Server server = scenario.awaitFirstCopy();
       server.sendUnsolicited(0, "ERROR");
       server.send(0, Peers.successReply(server.lines.get(0)));
       assertEquals("HD O1 c77", scenario.client.readLine());
@@ -168,7 +164,7 @@
       throws Exception {
     try (Scenario scenario = new Scenario(true)) {
       scenario.client.send("ms key-1 5 O1 Pc=" + serviceClass + ",d=300,k=1\r\nworld\r\n");
-      Peers.Server server = scenario.awaitFirstCopy(0);
+      Peers.Server server = scenario.awaitFirstCopy();
       for (String line : List.of("SERVER_ERROR busy", "ERROR", "SERVER_ERROR busy 3")) {
         server.sendUnsolicited(0, line);
       }
@@ -178,6 +174,20 @@
     }
   }
 
+  @Test
+  void floodOfLinesThatAnswerNothingEndsItsConnection() throws Exception {
+    try (Scenario scenario = new Scenario(true)) {
+      scenario.client.write("1");
+      Peers.Server server = scenario.awaitFirstCopy();
+      server.sendUnsolicited(0, REFUSAL.repeat(100).strip());
+      // Long before its deadline.
+      Peers.await("the connection has ended", () -> server.connections.isEmpty());
+      assertEquals("SERVER_ERROR failed", scenario.client.readLine());
+      assertThat(scenario.otherThan(server).lines).isEmpty();
+      assertThat(scenario.statusOfReplies()).contains("\"unsolicited\":16,");
+    }
+  }
+
   /** The lines stand where the refusal of a new connection would, but came before the request. */
   @ParameterizedTest
   @ValueSource(ints = {1, 2})
