An unchecked failure of the record no longer ends its thread in silence

Cause: RecordKeeper caught RecordException alone around a commit, so that an unchecked exception of the driver or its connection pool ended the thread "record", and every later step waited for ever. Change: the write fails with it, and the thread goes on.

RecordKeeperTest: before the change the future never completes (fails after 10 s); passes with it.

--- a/src/main/java/beamspread/agent/RecordKeeper.java
+++ b/src/main/java/beamspread/agent/RecordKeeper.java
@@ -98,13 +98,8 @@
     batch.forEach(job -> changes.addAll(job.changes));
     RecordException failed = null;
     if (!changes.isEmpty()) {
-      try {
-        record.commit(changes);
-        trouble = null;
-      } catch (RecordException e) {
-        failed = e;
-        trouble = e.getMessage();
-      }
+      failed = commit(changes);
+      trouble = failed == null ? null : failed.getMessage();
     }
     for (Job job : batch) {
       if (job.reading == null) {
@@ -126,12 +121,25 @@
       writes = 0;
       try {
         record.prune(keep);
-      } catch (RecordException e) {
+      } catch (RecordException | RuntimeException e) {
         trouble = e.getMessage();
       }
     }
   }
 
+  /** Returns why the changes may not have been written; null if they were. */
+  private RecordException commit(List<RecordChange> changes) {
+    try {
+      record.commit(changes);
+      return null;
+    } catch (RecordException e) {
+      return e;
+    } catch (RuntimeException e) {
+      // Would end this thread, and every later call would wait for ever.
+      return new RecordException("record: " + e, e);
+    }
+  }
+
   /** Writes what waits and ends. */
   @Override
   public void close() {
