A crowd of half-sent commands no longer takes the last descriptor or the event loop

Cause: three faults in a row. Connections accepted in one turn of the loop, up to 256 after a stall, were bounded by nothing, though descriptors of closed sockets are released by the selector's next wait only. The failed accept was then logged through the platform's logging, whose first use opens files; its error left the event loop, which ended.

Change: the maximum holds with refused connections counted; a connection that has sent half a command and nothing for 0.3 s gives way to a new one, with an error line; one whose answers are not written out never does. Warnings of the network library go to the node's log. A loop that ends all the same ends the process, with code 70; the agent's loop and threads too.

--- a/src/main/java/beamspread/agent/Agent.java
+++ b/src/main/java/beamspread/agent/Agent.java
@@ -1,6 +1,7 @@
 package beamspread.agent;
 
 import beamspread.fleet.config.TomlFaults;
+import beamspread.loop.EventLoopThreads;
 import beamspread.record.FleetRecord;
 import beamspread.record.JdbcRecord;
 import beamspread.record.RecordException;
@@ -21,6 +22,7 @@
 public final class Agent implements AutoCloseable {
   private static final long RECORD_MILLIS = 3000;
 
+  private final EventLoopThreads loopThreads = new EventLoopThreads("agent-io", Agent::onLoopEnded);
   private final MultiThreadIoEventLoopGroup group;
   private final AgentCore core;
   private final AgentServer server;
@@ -32,7 +34,7 @@
       throws IOException, RecordException, InterruptedException {
     Files.createDirectories(config.folder());
     lock = lock(config.folder().resolve("lock"));
-    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    group = new MultiThreadIoEventLoopGroup(1, loopThreads, NioIoHandler.newFactory());
     FleetRecord record = null;
     try {
       record = open(config);
@@ -66,6 +68,11 @@
     }
   }
 
+  /** Leaves it to the thread's handler of uncaught errors what becomes of the process. */
+  private static void onLoopEnded() {
+    throw new IllegalStateException("the event loop has ended by an error");
+  }
+
   /** What was begun before the start failed is ended. */
   private void abandon() throws IOException {
     if (core != null) {
@@ -74,6 +81,7 @@
     if (keeper != null) {
       keeper.close();
     }
+    loopThreads.expectEnd();
     group.shutdownGracefully(0, 1000, TimeUnit.MILLISECONDS);
     lock.close();
   }
@@ -163,6 +171,7 @@
     server.close();
     core.close();
     keeper.close();
+    loopThreads.expectEnd();
     // A short quiet time: what the closing of connections sets off still releases their buffers.
     group.shutdownGracefully(30, 1000, TimeUnit.MILLISECONDS).syncUninterruptibly();
     try {
--- a/src/main/java/beamspread/cli/AgentCommand.java
+++ b/src/main/java/beamspread/cli/AgentCommand.java
@@ -3,6 +3,8 @@
 import beamspread.agent.Agent;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -21,6 +23,11 @@
       "  ./beamspread agent --config deploy/agent.toml"
     })
 final class AgentCommand implements Callable<Integer> {
+  private static final Logger LOG = LoggerFactory.getLogger(AgentCommand.class);
+
+  /** Exit code of an agent one of whose threads has ended by an error. */
+  private static final int EXIT_THREAD_ENDED = 70;
+
   @Option(
       names = "--config",
       paramLabel = "FILE",
@@ -41,6 +48,7 @@
       return 0;
     }
     LogSetup.agent(Agent.log(config));
+    Thread.setDefaultUncaughtExceptionHandler(AgentCommand::endAfterFailure);
     try (UntilTold until = new UntilTold();
         Agent agent = Agent.start(config)) {
       spec.commandLine().getOut().println("agent listens on " + agent.url());
@@ -49,4 +57,10 @@
     }
     return 0;
   }
+
+  /** Ends the process in place of an agent that lives on without one of its threads. */
+  private static void endAfterFailure(Thread thread, Throwable cause) {
+    LOG.error("thread {} has ended by an error: the agent ends", thread.getName(), cause);
+    Runtime.getRuntime().halt(EXIT_THREAD_ENDED);
+  }
 }
--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -1,5 +1,6 @@
 package beamspread.node;
 
+import beamspread.loop.UnreleasedSockets;
 import beamspread.maintenance.RequestCounters;
 import beamspread.maintenance.Tally;
 import beamspread.model.LearnedState;
@@ -88,6 +89,7 @@
       long stalledReplyNanos,
       ValueRelays relays,
       LongUnaryOperator unreadNanos,
+      UnreleasedSockets unreleasedSockets,
       Log log) {
     this.loop = loop;
     this.relays = relays;
@@ -102,6 +104,7 @@
             poolSettings,
             stalledReplyNanos,
             new SplittableRandom(config.seed())::nextDouble,
+            unreleasedSockets::socketClosed,
             this);
     for (Settings.ServiceClass service : settings.services()) {
       classesByName.put(service.name(), service);
--- a/src/main/java/beamspread/node/Log.java
+++ b/src/main/java/beamspread/node/Log.java
@@ -38,6 +38,15 @@
     write("ERROR", context + ": " + cause + (trace.length > 0 ? " at " + trace[0] : ""));
   }
 
+  /**
+   * Logs a warning of a library at level WARN.
+   *
+   * @param cause null for none
+   */
+  void warning(String message, Throwable cause) {
+    write("WARN", cause == null ? message : message + ": " + cause);
+  }
+
   private synchronized void write(String level, String message) {
     long second = System.nanoTime() / 1_000_000_000L;
     if (second != currentSecond) {
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -1,8 +1,12 @@
 package beamspread.node;
 
+import beamspread.loop.AcceptGate;
 import beamspread.loop.EventLoopMonitor;
+import beamspread.loop.EventLoopThreads;
 import beamspread.loop.MonitoredIoHandler;
+import beamspread.loop.NettyLogging;
 import beamspread.loop.SocketPolling;
+import beamspread.loop.UnreleasedSockets;
 import beamspread.node.client.ClientConnections;
 import beamspread.node.client.ClientHandler;
 import beamspread.node.handover.SharedFolder;
@@ -73,7 +77,13 @@
   /** How long a partly received reply of a cache server may make no progress. */
   private static final long STALLED_REPLY_NANOS = 400_000_000L;
 
+  /** Exit code of a process whose event loop has ended by an error. */
+  private static final int EXIT_LOOP_ENDED = 70;
+
   private final NodeConfig config;
+  private final EventLoopThreads loopThreads;
+  private final UnreleasedSockets unreleasedSockets;
+  private final AcceptGate acceptGate = new ClientAcceptGate();
   private final MultiThreadIoEventLoopGroup group;
   private final EventLoop loop;
   private final Transport transport;
@@ -95,6 +105,9 @@
   private NodeStatus.Configuration configuration;
   private boolean draining;
 
+  /** Whether the process is this node's own, so that it ends with the event loop. */
+  private volatile boolean endsProcess;
+
   /** Creates a node that is not listening yet. */
   Node(NodeConfig config) {
     this(
@@ -127,10 +140,12 @@
     this.transport = transport;
     log = new Log(config.name(), config.jsonLog());
     loopWatch = new EventLoopMonitor(this::onStall);
-    clientConnections = new ClientConnections(limits, loopWatch);
+    unreleasedSockets = new UnreleasedSockets(loopWatch);
+    clientConnections = new ClientConnections(limits, loopWatch, unreleasedSockets);
+    loopThreads = new EventLoopThreads("node", this::onLoopEnded);
     group =
         new MultiThreadIoEventLoopGroup(
-            1, MonitoredIoHandler.factory(NioIoHandler.newFactory(), loopWatch));
+            1, loopThreads, MonitoredIoHandler.factory(NioIoHandler.newFactory(), loopWatch));
     loop = group.next();
     valueMemory = new MemoryBudget((long) config.memoryMb() << 16);
     allocator = new PooledByteBufAllocator(true, 0, 1, 8192, 6, 64, 16, true);
@@ -152,9 +167,18 @@
             STALLED_REPLY_NANOS,
             relays,
             loopWatch::maxUnreadNanos,
+            unreleasedSockets,
             log);
   }
 
+  /** Ends the process in place of a node that is alive and serves nobody. */
+  private void onLoopEnded() {
+    log.info("the event loop has ended by an error: the process ends");
+    if (endsProcess) {
+      Runtime.getRuntime().halt(EXIT_LOOP_ENDED);
+    }
+  }
+
   private void onStall(long nanos) {
     log.info("the event loop stood still for " + nanos / 1_000_000 + " ms");
     if (dispatcher == null) {
@@ -219,11 +243,13 @@
       return 2;
     }
     Log log = new Log(config.name(), config.jsonLog());
+    NettyLogging.install(log::warning);
     // Open the folder first, so that a process that already serves beside this one leaves its
     // learnt state there.
     SharedFolder shared = openSharedFolder(config, log);
     Rehearsal.run(config, log);
     Node node = new Node(config);
+    node.endsProcess = true;
     node.sharedFolder = shared;
     // Install the hook before any client can connect: each accepted request must be answered at the
     // end.
@@ -290,7 +316,9 @@
     // Only a node that can be upgraded shares its address: without management calls a second
     // process on the address is a mistake.
     var bindFuture =
-        (management == null ? transport.server() : transport.sharedServer())
+        (management == null
+                ? transport.clientListener(acceptGate)
+                : transport.sharedClientListener(acceptGate))
             .group(loop)
             .childOption(ChannelOption.ALLOCATOR, allocator)
             .childOption(
@@ -354,6 +382,19 @@
     new TablePuller(loop, calling, part, config.name(), variantKeys, log::info).start();
   }
 
+  /** Accepts clients as long as descriptors are left for them. */
+  private final class ClientAcceptGate implements AcceptGate {
+    @Override
+    public boolean mayAccept(int unregistered) {
+      return clientConnections.mayAccept(unregistered);
+    }
+
+    @Override
+    public void acceptFailed(IOException cause) {
+      log.info("a client's connection could not be accepted: " + cause.getMessage());
+    }
+  }
+
   private void onBound(Channel channel, boolean bound) {
     if (bound && draining) {
       channel.close();
@@ -620,6 +661,7 @@
   @Override
   public void close() {
     log.mute();
+    loopThreads.expectEnd();
     // A short quiet period: handlers that run as channels close still release their buffers.
     group.shutdownGracefully(30, 1000, TimeUnit.MILLISECONDS).syncUninterruptibly();
     closeSharedFolder();
--- a/src/main/java/beamspread/node/Transport.java
+++ b/src/main/java/beamspread/node/Transport.java
@@ -1,5 +1,7 @@
 package beamspread.node;
 
+import beamspread.loop.AcceptGate;
+import beamspread.loop.GatedServerSocketChannel;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelOption;
@@ -23,8 +25,17 @@
 
     @Override
     ServerBootstrap server() {
-      return new ServerBootstrap()
-          .channel(NioServerSocketChannel.class)
+      return withOptions(new ServerBootstrap().channel(NioServerSocketChannel.class));
+    }
+
+    @Override
+    ServerBootstrap clientListener(AcceptGate gate) {
+      return withOptions(
+          new ServerBootstrap().channelFactory(() -> new GatedServerSocketChannel(gate)));
+    }
+
+    private ServerBootstrap withOptions(ServerBootstrap bootstrap) {
+      return bootstrap
           .option(ChannelOption.SO_BACKLOG, 1024)
           .childOption(ChannelOption.TCP_NODELAY, true);
     }
@@ -43,7 +54,12 @@
     }
 
     @Override
-    ServerBootstrap sharedServer() {
+    ServerBootstrap clientListener(AcceptGate gate) {
+      return server();
+    }
+
+    @Override
+    ServerBootstrap sharedClientListener(AcceptGate gate) {
       return server();
     }
   };
@@ -52,8 +68,12 @@
 
   abstract ServerBootstrap server();
 
-  /** Returns a bootstrap whose address a second process of the same user may also listen on. */
-  ServerBootstrap sharedServer() {
-    return server().option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), Boolean.TRUE);
+  /** Returns a bootstrap for the socket that clients connect to, which accepts by this gate. */
+  abstract ServerBootstrap clientListener(AcceptGate gate);
+
+  /** The same for an address that a second process of the same user may also listen on. */
+  ServerBootstrap sharedClientListener(AcceptGate gate) {
+    return clientListener(gate)
+        .option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), Boolean.TRUE);
   }
 }
--- a/src/main/java/beamspread/node/client/ClientConnections.java
+++ b/src/main/java/beamspread/node/client/ClientConnections.java
@@ -1,10 +1,13 @@
 package beamspread.node.client;
 
 import beamspread.loop.EventLoopMonitor;
+import beamspread.loop.UnreleasedSockets;
 import beamspread.pool.IdleTimeScale;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
 /** All client connections: tracks which are idle, and which are closed to make room. */
 public final class ClientConnections {
@@ -46,11 +49,24 @@
    */
   private static final long FIRST_COMMAND_GRACE_NANOS = 50_000_000L;
 
+  /**
+   * Time without data after which a connection that has sent a part of a command may be evicted: a
+   * slow client pauses for less between two pieces.
+   */
+  private static final long PARTIAL_COMMAND_GRACE_NANOS = 300_000_000L;
+
+  /**
+   * Connections beyond the maximum that may be accepted in one turn of the event loop, in place of
+   * evicted ones whose descriptors are not released yet. Well below the reserved descriptors.
+   */
+  private static final int MAX_REPLACED_PER_TURN = 16;
+
   /** Idle timeouts shrink while between one third and two thirds of the connections are open. */
   private static final IdleTimeScale IDLE_TIMEOUT_SCALE = new IdleTimeScale(1 / 3.0, 2 / 3.0);
 
   private final Limits limits;
   private final EventLoopMonitor loopWatch;
+  private final UnreleasedSockets unreleasedSockets;
   private final LinkedHashSet<ClientHandler> open = new LinkedHashSet<>();
 
   /** Connections without any command so far, oldest first. */
@@ -59,6 +75,12 @@
   /** Connections between requests, longest idle first. */
   private final LinkedHashSet<ClientHandler> idle = new LinkedHashSet<>();
 
+  /** Connections that wait for the rest of a command only, longest without data first. */
+  private final LinkedHashSet<ClientHandler> partial = new LinkedHashSet<>();
+
+  /** Connections that found no room, until they are closed; they are not in the other sets. */
+  private final Set<ClientHandler> refused = new HashSet<>();
+
   /** Rejected connections that wait for the client to read the error line. */
   private final LinkedHashSet<ClientHandler> lingering = new LinkedHashSet<>();
 
@@ -74,10 +96,13 @@
    * Creates an empty set of connections.
    *
    * @param loopWatch the watch of the event loop that the connections run on
+   * @param unreleasedSockets the count of sockets that were closed in this turn of the loop
    */
-  public ClientConnections(Limits limits, EventLoopMonitor loopWatch) {
+  public ClientConnections(
+      Limits limits, EventLoopMonitor loopWatch, UnreleasedSockets unreleasedSockets) {
     this.limits = limits;
     this.loopWatch = loopWatch;
+    this.unreleasedSockets = unreleasedSockets;
   }
 
   Limits limits() {
@@ -133,19 +158,31 @@
   }
 
   /**
-   * Adds a new connection; returns false if there is no room for it. At the maximum, which keeps
-   * the process from running out of descriptors, the connection least likely to be in use is
-   * evicted, but never one with an open request. Clients that connect long before their first
-   * request may have to reconnect.
+   * Returns whether the descriptors suffice to accept one more connection now. Otherwise it waits
+   * in the operating system's queue until the event loop's next turn.
+   *
+   * @param unregistered number of accepted connections that are not registered yet
+   */
+  public boolean mayAccept(int unregistered) {
+    int held = open.size() + refused.size() + unreleasedSockets.count() + unregistered;
+    return held < limits.maxConnections() + MAX_REPLACED_PER_TURN;
+  }
+
+  /**
+   * Adds a new connection; returns false if there is no room for it, and it has to be closed at
+   * once. At the maximum, which keeps the process from running out of descriptors, the connection
+   * least likely to be in use is evicted, but never one with an open request. Clients that connect
+   * long before their first request may have to reconnect.
    */
   boolean register(ClientHandler client) {
     acceptedCount++;
-    boolean hasRoom = open.size() < maxOpen() || makeRoom();
-    open.add(client);
-    if (hasRoom) {
-      fresh.add(client);
+    if (open.size() >= maxOpen() && !makeRoom()) {
+      refused.add(client);
+      return false;
     }
-    return hasRoom;
+    open.add(client);
+    fresh.add(client);
+    return true;
   }
 
   /**
@@ -159,29 +196,43 @@
       candidate.closeLingering();
       return true;
     }
-    // After the read, a client with a request is busy or last in order, so each is read once.
-    for (int checksLeft = fresh.size() + idle.size(); checksLeft > 0; checksLeft--) {
+    int checksLeft = fresh.size() + partial.size() + idle.size();
+    for (; checksLeft > 0; checksLeft--) {
       candidate = evictionCandidate();
       if (candidate == null) {
         return false;
       }
-      if (candidate.isQuietAfterRead()) {
+      if (candidate.isUnusedAfterRead()) {
         remove(candidate);
-        candidate.closeNow();
+        candidate.evict();
         return true;
       }
+      moveToEnd(candidate);
     }
     return false;
   }
 
+  /** Moves a connection that may not be evicted behind the others in its set. */
+  private void moveToEnd(ClientHandler client) {
+    for (LinkedHashSet<ClientHandler> clients : List.of(fresh, partial, idle)) {
+      if (clients.remove(client)) {
+        clients.add(client);
+      }
+    }
+  }
+
+  /** Returns the connection that may be evicted first; null if there is none. */
   private ClientHandler evictionCandidate() {
-    ClientHandler candidate = first(fresh);
-    if (candidate != null
-        && idleClockNanos() - candidate.idleSinceNanos() < FIRST_COMMAND_GRACE_NANOS
-        && !idle.isEmpty()) {
-      candidate = null;
+    long now = idleClockNanos();
+    ClientHandler silent = first(fresh);
+    if (silent != null && now - silent.idleSinceNanos() >= FIRST_COMMAND_GRACE_NANOS) {
+      return silent;
+    }
+    ClientHandler stopped = first(partial);
+    if (stopped != null && now - stopped.lastDataNanos() >= PARTIAL_COMMAND_GRACE_NANOS) {
+      return stopped;
     }
-    return candidate == null ? first(idle) : candidate;
+    return idle.isEmpty() ? silent : first(idle);
   }
 
   private static ClientHandler first(LinkedHashSet<ClientHandler> clients) {
@@ -192,6 +243,13 @@
   void markBusy(ClientHandler client) {
     fresh.remove(client);
     idle.remove(client);
+    partial.remove(client);
+  }
+
+  /** Marks a connection as waiting for the rest of a command, of which a part has just come. */
+  void markPartial(ClientHandler client) {
+    markBusy(client);
+    partial.add(client);
   }
 
   /** Marks a connection as idle, or closes it in a drain; all its requests are answered. */
@@ -209,6 +267,8 @@
   }
 
   void onClosed(ClientHandler client) {
+    unreleasedSockets.socketClosed();
+    refused.remove(client);
     remove(client);
     if (draining && open.isEmpty()) {
       onEmpty.run();
--- a/src/main/java/beamspread/node/client/ClientHandler.java
+++ b/src/main/java/beamspread/node/client/ClientHandler.java
@@ -9,6 +9,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -34,6 +35,9 @@
   /** A socket read within this time is not read again; about one turn of a lightly loaded loop. */
   private static final long RECENT_READ_NANOS = 2_000_000L;
 
+  /** Answer to a client for which there is no room. */
+  private static final String BUSY_LINE = "SERVER_ERROR busy\r\n";
+
   /** Maximum reads of a socket to find a close behind the data. */
   private static final int MAX_READS_PER_CHECK = 8;
 
@@ -63,6 +67,12 @@
   /** When the command that is received in part began; 0 if there is none. */
   private long partialSinceNanos;
 
+  /** When data last came, on {@link ClientConnections#idleClockNanos()}. */
+  private long lastDataNanos;
+
+  /** The decoder's count of reads with data when data last came. */
+  private long readCountAtLastData;
+
   /** When the client last read queued data; 0 while the channel is writable. */
   private long stalledSinceNanos;
 
@@ -105,6 +115,7 @@
     this.connections = connections;
     this.decoder = decoder;
     idleSinceNanos = connections.idleClockNanos();
+    lastDataNanos = idleSinceNanos;
     long now = System.nanoTime();
     long maxUnreadNanos = connections.maxUnreadNanos(now);
     earliestConnectNanos = maxUnreadNanos == 0 ? 0 : now - maxUnreadNanos;
@@ -284,17 +295,24 @@
     }
     channel.flush();
     updateAutoRead();
-    markIdleIfQuiet();
+    markUnused();
   }
 
-  /** Marks the connection as idle if it is between requests. */
-  private void markIdleIfQuiet() {
+  /** Marks the connection as idle if it is between requests, or as waiting for more data. */
+  private void markUnused() {
     if (isQuiet()) {
       idleSinceNanos = connections.idleClockNanos();
       connections.markIdle(this);
+    } else if (isPartial()) {
+      connections.markPartial(this);
     }
   }
 
+  /** Returns whether nothing is owed but the rest of a command, by the client. */
+  private boolean isPartial() {
+    return answerSlots.isEmpty() && decoder.isIncomplete() && !closing;
+  }
+
   /** Returns whether all commands are answered and no command was received in part. */
   private boolean isQuiet() {
     return answerSlots.isEmpty() && !decoder.isIncomplete() && !closing;
@@ -310,6 +328,22 @@
     return !commandReceived && isQuiet();
   }
 
+  /**
+   * Reads the socket and returns whether no request uses the connection, all answers are handed to
+   * the operating system, and no more of a command came.
+   */
+  boolean isUnusedAfterRead() {
+    long readCountBefore = decoder.readCount();
+    boolean quiet = isQuietAfterRead();
+    boolean unused = quiet || (isPartial() && decoder.readCount() == readCountBefore);
+    return unused && !hasUnwrittenAnswers();
+  }
+
+  private boolean hasUnwrittenAnswers() {
+    ChannelOutboundBuffer unwritten = channel.unsafe().outboundBuffer();
+    return unwritten != null && unwritten.totalPendingWriteBytes() > 0;
+  }
+
   private boolean canRead() {
     return channel.isActive() && decoder.heldBytes() <= MAX_HELD_BYTES;
   }
@@ -404,7 +438,7 @@
   @Override
   public void channelActive(ChannelHandlerContext ctx) {
     if (!connections.register(this)) {
-      rejectAndClose("SERVER_ERROR busy");
+      refuse();
     } else if (connections.isDraining()) {
       drain();
     }
@@ -481,6 +515,13 @@
       partialSinceNanos = partialSinceNanos == 0 ? System.nanoTime() : partialSinceNanos;
       connections.markBusy(this);
     }
+    if (decoder.readCount() != readCountAtLastData) {
+      readCountAtLastData = decoder.readCount();
+      lastDataNanos = connections.idleClockNanos();
+      if (isPartial()) {
+        connections.markPartial(this);
+      }
+    }
     continueDrain();
     updateAutoRead();
   }
@@ -516,6 +557,41 @@
     ctx.close();
   }
 
+  /**
+   * Sends the error line and closes the connection, for which there is no descriptor. What the
+   * client has sent until then is discarded, so that the close is no reset and the line arrives.
+   */
+  private void refuse() {
+    closing = true;
+    decoder.discardInput();
+    writeBusyLine();
+    // As a separate task, since the caller is an event of this channel.
+    channel.eventLoop().execute(this::closeLingering);
+  }
+
+  private void writeBusyLine() {
+    ByteBuf line = channel.alloc().buffer();
+    ByteBufUtil.writeAscii(line, BUSY_LINE);
+    channel.writeAndFlush(line, channel.voidPromise());
+  }
+
+  /**
+   * Closes the connection at once to make room; the caller has made sure that no request uses it. A
+   * client within a command gets an error line.
+   */
+  void evict() {
+    if (isPartial()) {
+      writeBusyLine();
+    }
+    closing = true;
+    channel.close();
+  }
+
+  /** Returns when data last came, on the idle clock. */
+  long lastDataNanos() {
+    return lastDataNanos;
+  }
+
   /** Returns when the connection was opened or became idle, on the idle clock. */
   long idleSinceNanos() {
     return idleSinceNanos;
--- a/src/main/java/beamspread/node/server/ServerPools.java
+++ b/src/main/java/beamspread/node/server/ServerPools.java
@@ -23,6 +23,7 @@
   private final Bootstrap bootstrap;
   private final AttemptListener listener;
   private final long maxReplyStallNanos;
+  private final Runnable onSocketClosed;
   private final Pools<Attempt> pools;
   private final Map<Long, SocketAddress> addresses = new HashMap<>();
   private final Map<Long, ServerConnection> connections = new HashMap<>();
@@ -33,6 +34,7 @@
   /**
    * @param maxReplyStallNanos how long an incomplete reply may stall
    * @param random numbers from 0 to 1
+   * @param onSocketClosed runs each time a socket was closed
    */
   public ServerPools(
       Executor loop,
@@ -40,11 +42,13 @@
       PoolSettings settings,
       long maxReplyStallNanos,
       DoubleSupplier random,
+      Runnable onSocketClosed,
       AttemptListener listener) {
     this.loop = loop;
     this.bootstrap = bootstrap;
     this.listener = listener;
     this.maxReplyStallNanos = maxReplyStallNanos;
+    this.onSocketClosed = onSocketClosed;
     this.pools = new Pools<>(settings, random, this);
   }
 
@@ -143,7 +147,7 @@
   public void open(long server, long connectionId) {
     ServerConnection connection =
         new ServerConnection(
-            connectionId, pools, listener, replyStatistics, () -> connections.remove(connectionId));
+            connectionId, pools, listener, replyStatistics, () -> onClosed(connectionId));
     ChannelFuture future = connection.open(bootstrap, addresses.get(server));
     if (future.isDone()) {
       // Results are never reported to the pools from within one of their actions.
@@ -153,6 +157,11 @@
     }
   }
 
+  private void onClosed(long connectionId) {
+    connections.remove(connectionId);
+    onSocketClosed.run();
+  }
+
   private void opened(ServerConnection connection, ChannelFuture future) {
     if (future.isSuccess()) {
       opened++;
@@ -160,6 +169,7 @@
       pools.connectionOpened(System.nanoTime(), connection.id);
     } else {
       failedOpens++;
+      onSocketClosed.run();
       boolean timedOut = future.cause() instanceof ConnectTimeoutException;
       pools.connectionFailed(System.nanoTime(), connection.id, timedOut);
     }
--- a/src/test/java/beamspread/node/client/ClientConnectionsTest.java
+++ b/src/test/java/beamspread/node/client/ClientConnectionsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beamspread.loop.EventLoopMonitor;
+import beamspread.loop.UnreleasedSockets;
 import beamspread.node.wire.MemoryBudget;
 import beamspread.node.wire.MetaCommand;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -38,8 +39,9 @@
         }
       };
 
+  private final EventLoopMonitor monitor = new EventLoopMonitor(pause -> {});
   private final ClientConnections connections =
-      new ClientConnections(LIMITS, new EventLoopMonitor(pause -> {}));
+      new ClientConnections(LIMITS, monitor, new UnreleasedSockets(monitor));
   private final List<EmbeddedChannel> open = new ArrayList<>();
 
   private void open(int count) {
