Undecoded input of all clients together is bounded, and a full direct memory costs no half seconds

Cause: ClientHandler bounds what it holds behind 256 pending answers for each connection (64 KiB, in buffers of 128 KiB), nothing bounds the sum: 240 such connections fill the 32 MB of direct memory of the run command. Each further reservation then went through java.nio.Bits, which collects garbage and sleeps for about half a second before it fails, on the event loop, for each read of each connection.

Change: client.InputMemory counts the capacity of the buffers of undecoded input over all connections (held commands and incomplete ones) and, beyond a 48th of the node's memory or an eighth of the direct memory, turns away the client that holds most, with an answer behind those it is owed. The network library counts its direct memory itself now (Add-Opens in the node jar's manifest), so that a reservation beyond the limit fails at once and costs one connection.

--- a/src/main/java/beamspread/Main.java
+++ b/src/main/java/beamspread/Main.java
@@ -9,10 +9,18 @@
 public final class Main {
   private static final String USAGE = "usage: beamspread simhost | serve [--tally] | rehearse";
 
+  /**
+   * Lets the network library count its direct memory by itself, with the access that the jar's
+   * manifest opens: a reservation beyond the limit then fails at once, while the platform's own
+   * collects garbage and sleeps for half a second before it fails.
+   */
+  private static final String COUNTED_DIRECT_MEMORY = "io.netty.tryReflectionSetAccessible";
+
   private Main() {}
 
   /** Runs the command named by the first word. */
   public static void main(String[] args) throws InterruptedException {
+    System.setProperty(COUNTED_DIRECT_MEMORY, "true");
     switch (String.join(" ", args)) {
       case "simhost" -> simhost();
       case "rehearse" -> System.exit(Node.rehearse());
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -9,6 +9,7 @@
 import beamspread.loop.UnreleasedSockets;
 import beamspread.node.client.ClientConnections;
 import beamspread.node.client.ClientHandler;
+import beamspread.node.client.InputMemory;
 import beamspread.node.handover.SharedFolder;
 import beamspread.node.mgmt.MgmtServer;
 import beamspread.node.relay.ValueRelays;
@@ -32,6 +33,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.internal.PlatformDependent;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -77,6 +79,12 @@
   /** How long a partly received reply of a cache server may make no progress. */
   private static final long STALLED_REPLY_NANOS = 400_000_000L;
 
+  /** The node's memory is this many times what undecoded input of clients may take. */
+  private static final long INPUT_PART_OF_MEMORY = 48;
+
+  /** The direct memory of the process is this many times what undecoded input may take. */
+  private static final long INPUT_PART_OF_DIRECT_MEMORY = 8;
+
   /** Exit code of a process whose event loop has ended by an error. */
   private static final int EXIT_LOOP_ENDED = 70;
 
@@ -131,6 +139,12 @@
     return RelaySettings.defaults(Math.max(1 << 20, (long) config.memoryMb() << 16));
   }
 
+  /** Returns the bound on undecoded input: small parts of the node's and of the direct memory. */
+  private static long maxInputBytes(NodeConfig config) {
+    long ofNode = ((long) config.memoryMb() << 20) / INPUT_PART_OF_MEMORY;
+    return Math.min(ofNode, PlatformDependent.maxDirectMemory() / INPUT_PART_OF_DIRECT_MEMORY);
+  }
+
   Node(
       NodeConfig config,
       ClientConnections.Limits limits,
@@ -141,7 +155,9 @@
     log = new Log(config.name(), config.jsonLog());
     loopWatch = new EventLoopMonitor(this::onStall);
     unreleasedSockets = new UnreleasedSockets(loopWatch);
-    clientConnections = new ClientConnections(limits, loopWatch, unreleasedSockets);
+    clientConnections =
+        new ClientConnections(
+            limits, loopWatch, unreleasedSockets, new InputMemory(maxInputBytes(config)));
     loopThreads = new EventLoopThreads("node", this::onLoopEnded);
     group =
         new MultiThreadIoEventLoopGroup(
--- a/src/main/java/beamspread/node/client/ClientConnections.java
+++ b/src/main/java/beamspread/node/client/ClientConnections.java
@@ -67,6 +67,7 @@
   private final Limits limits;
   private final EventLoopMonitor loopWatch;
   private final UnreleasedSockets unreleasedSockets;
+  private final InputMemory inputMemory;
   private final LinkedHashSet<ClientHandler> open = new LinkedHashSet<>();
 
   /** Connections without any command so far, oldest first. */
@@ -97,12 +98,21 @@
    *
    * @param loopWatch the watch of the event loop that the connections run on
    * @param unreleasedSockets the count of sockets that were closed in this turn of the loop
+   * @param inputMemory the bound on undecoded input of all connections together
    */
   public ClientConnections(
-      Limits limits, EventLoopMonitor loopWatch, UnreleasedSockets unreleasedSockets) {
+      Limits limits,
+      EventLoopMonitor loopWatch,
+      UnreleasedSockets unreleasedSockets,
+      InputMemory inputMemory) {
     this.limits = limits;
     this.loopWatch = loopWatch;
     this.unreleasedSockets = unreleasedSockets;
+    this.inputMemory = inputMemory;
+  }
+
+  InputMemory inputMemory() {
+    return inputMemory;
   }
 
   Limits limits() {
--- a/src/main/java/beamspread/node/client/ClientHandler.java
+++ b/src/main/java/beamspread/node/client/ClientHandler.java
@@ -35,6 +35,9 @@
   /** A socket read within this time is not read again; about one turn of a lightly loaded loop. */
   private static final long RECENT_READ_NANOS = 2_000_000L;
 
+  /** Answer to a client whose undecoded input takes too much memory. */
+  private static final String TOO_MANY_COMMANDS = "SERVER_ERROR too many commands";
+
   /** Answer to a client for which there is no room. */
   private static final String BUSY_LINE = "SERVER_ERROR busy\r\n";
 
@@ -114,6 +117,7 @@
     this.requestHandler = requestHandler;
     this.connections = connections;
     this.decoder = decoder;
+    decoder.setInputMemoryListener(bytes -> connections.inputMemory().update(this, bytes));
     idleSinceNanos = connections.idleClockNanos();
     lastDataNanos = idleSinceNanos;
     long now = System.nanoTime();
@@ -426,7 +430,7 @@
     }
     if (channel.isActive() && !closing && decoder.heldBytes() > MAX_HELD_BYTES) {
       // To find a close behind even more data, all of that data would have to be held.
-      rejectAndClose("SERVER_ERROR too many commands");
+      rejectAndClose(TOO_MANY_COMMANDS);
     }
   }
 
@@ -499,6 +503,14 @@
     slot.answerLine(reply == null ? "SERVER_ERROR busy" : reply);
   }
 
+  /** Rejects the client and drops its input, because of the memory that the input takes. */
+  void turnAway() {
+    rejectAndClose(TOO_MANY_COMMANDS);
+    if (!decoder.isDecoding()) {
+      channel.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
+    }
+  }
+
   /** Sends a last line after all pending answers, and then closes the connection. */
   private void rejectAndClose(String reason) {
     AnswerSlot slot = new AnswerSlot();
@@ -536,6 +548,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     connections.onClosed(this);
+    connections.inputMemory().update(this, 0);
     for (AnswerSlot slot = answerSlots.poll(); slot != null; slot = answerSlots.poll()) {
       slot.releaseBuffers();
       if (slot.streamListener != null) {
@@ -554,6 +567,9 @@
     if (!(cause instanceof IOException)) {
       requestHandler.reportError("client connection", cause);
     }
+    if (cause instanceof OutOfMemoryError) {
+      connections.inputMemory().turnAwayLargest();
+    }
     ctx.close();
   }
 
--- a/src/main/java/beamspread/node/wire/MetaCommand.java
+++ b/src/main/java/beamspread/node/wire/MetaCommand.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.IntConsumer;
 
 /**
  * A command from a client. A write keeps its value until the request has ended, for a second
@@ -136,6 +137,12 @@
     private boolean holding;
     private long readCount;
 
+    /** Whether a read is being decoded now. */
+    private boolean decoding;
+
+    /** Receives the capacity of the buffer for undecoded input after each read. */
+    private IntConsumer inputMemoryListener = bytes -> {};
+
     public Decoder(MemoryBudget budget, List<Settings.ServiceClass> serviceClasses) {
       this.budget = budget;
       serviceClasses.forEach(serviceClass -> classes.put(serviceClass.name(), serviceClass));
@@ -154,7 +161,26 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
       readCount++;
-      super.channelRead(ctx, bytes);
+      boolean outermost = !decoding;
+      decoding = true;
+      try {
+        super.channelRead(ctx, bytes);
+      } finally {
+        decoding = !outermost;
+      }
+      if (outermost) {
+        inputMemoryListener.accept(internalBuffer().capacity());
+      }
+    }
+
+    /** Sets what receives the capacity of the buffer for undecoded input after each read. */
+    public void setInputMemoryListener(IntConsumer listener) {
+      inputMemoryListener = listener;
+    }
+
+    /** Returns whether a read is being decoded now, so that it will see a change of this state. */
+    public boolean isDecoding() {
+      return decoding;
     }
 
     /**
--- a/src/test/java/beamspread/JarsIT.java
+++ b/src/test/java/beamspread/JarsIT.java
@@ -35,6 +35,15 @@
         .containsExactlyElementsOf(Files.readAllLines(list));
   }
 
+  /** Without it a failing reservation of direct memory stops the node (incident 0004). */
+  @Test
+  void nodeJarLetsTheNetworkLibraryCountItsDirectMemory() throws IOException {
+    try (JarFile file = new JarFile("target/beamspread.jar")) {
+      assertThat(file.getManifest().getMainAttributes().getValue("Add-Opens"))
+          .isEqualTo("java.base/java.nio");
+    }
+  }
+
   @Test
   void operationsJarRunsStandalone() throws Exception {
     Path out = Files.createTempFile("ops", ".out");
--- a/src/test/java/beamspread/node/client/ClientConnectionsTest.java
+++ b/src/test/java/beamspread/node/client/ClientConnectionsTest.java
@@ -41,7 +41,8 @@
 
   private final EventLoopMonitor monitor = new EventLoopMonitor(pause -> {});
   private final ClientConnections connections =
-      new ClientConnections(LIMITS, monitor, new UnreleasedSockets(monitor));
+      new ClientConnections(
+          LIMITS, monitor, new UnreleasedSockets(monitor), new InputMemory(1 << 20));
   private final List<EmbeddedChannel> open = new ArrayList<>();
 
   private void open(int count) {
