A refused call or the end of a watch no longer makes the list of servers younger

Cause: two places took for a confirmation what is none. ListFreshness set the age of the list anew at each refused call, and DiscoveryClient reported the list as confirmed when a watch was reset up to 2.3 s after its last data. Known at both is only that all changes up to the last data have come; between it and the refusal discovery could be reached and had changes, which count 6 s later.

Change: only data of discovery confirms the list. The list expires 7.75 s after the last of it, whatever calls end how. The price is service in outages: a node refuses from then on until discovery has answered.

--- a/src/main/java/beamspread/model/ListEvidence.java
+++ b/src/main/java/beamspread/model/ListEvidence.java
@@ -8,7 +8,7 @@
   CONFIRMED,
   /** Discovery was reachable but gave no usable list. */
   REACHED,
-  /** Discovery was not reachable. */
+  /** Discovery was not reachable at this time, which shows nothing of the time before. */
   UNREACHABLE,
   /** Discovery is called at another address from now on. */
   MOVED
--- a/src/main/java/beamspread/node/discovery/DiscoveryCall.java
+++ b/src/main/java/beamspread/node/discovery/DiscoveryCall.java
@@ -37,9 +37,6 @@
   /** Silence after which a watch fails; discovery sends an empty line at least every 2 s. */
   private static final long WATCH_SILENCE_TIMEOUT_MILLIS = 3000;
 
-  /** Longest time between two heartbeats of a working watch: 2 s and some network delay. */
-  private static final long MAX_HEARTBEAT_GAP_MILLIS = 2300;
-
   /** Time within which an answer has to begin; discovery may queue a call for up to 2 s. */
   private static final long ANSWER_START_TIMEOUT_MILLIS = 2500;
 
@@ -391,13 +388,6 @@
     return answerStarted && !listReceived;
   }
 
-  /** Returns whether a list was received, no other is incomplete, and no heartbeat is overdue. */
-  boolean isUpToDate() {
-    return listReceived
-        && partialListBytes == 0
-        && System.nanoTime() - lastReadNanos <= MAX_HEARTBEAT_GAP_MILLIS * 1_000_000L;
-  }
-
   /** Ends the call; its listener is not called again. */
   void cancel() {
     ended = true;
--- a/src/main/java/beamspread/node/discovery/DiscoveryClient.java
+++ b/src/main/java/beamspread/node/discovery/DiscoveryClient.java
@@ -251,10 +251,7 @@
       }
       watch = null;
       cancelFullListCall();
-      if (failure.endedByPeer() && call.isUpToDate() && !needsFullList) {
-        // The watch was up to date until it ended.
-        reportConfirmed();
-      }
+      // The end confirms nothing: a change may have been made since the last data of the watch.
       reportEvidence(failure.evidence(!onDemand));
       if (onDemand) {
         listener.requestedCallFailed(failure);
--- a/src/main/java/beamspread/policy/ListFreshness.java
+++ b/src/main/java/beamspread/policy/ListFreshness.java
@@ -9,8 +9,9 @@
  * <p>A change counts as delivered some seconds after discovery had it and was reachable, whether or
  * not it arrived; for the drain grace after that, requests may still be sent to a server that has
  * left. A list that was not confirmed for longer may contain servers to which nothing may be sent,
- * without any sign which ones: it has expired, and no request is sent by it. While discovery is
- * known only to be unreachable, no change counts as delivered, so the time starts again.
+ * without any sign which ones: it has expired, and no request is sent by it. Only discovery's own
+ * word that nothing is missing starts the time again. A call that is refused does not: between the
+ * last word and the refusal discovery may have been reachable and had changes.
  *
  * <p>Times are seconds of the balancer's clock.
  */
@@ -55,10 +56,7 @@
       }
       case REACHED -> reached = true;
       case UNREACHABLE -> {
-        // If it was reachable before, changes up to then count as delivered, so time runs on.
-        if (!reached) {
-          missingChangesSince = Math.max(time, missingChangesSince);
-        }
+        // Says nothing of the time before, in which changes may have been made.
       }
       case MOVED -> {
         missingChangesSince =
--- a/src/test/java/beamspread/node/ScriptedDiscovery.java
+++ b/src/test/java/beamspread/node/ScriptedDiscovery.java
@@ -67,6 +67,9 @@
   private volatile String list;
   private volatile Behaviour behaviour = this::watch;
 
+  /** Watches that were opened before this one are silent; counted by {@link #calls}. */
+  private volatile int firstAudibleCall;
+
   /** Starts a service that sends this list. */
   ScriptedDiscovery(String list) throws IOException {
     this.list = list;
@@ -163,16 +166,26 @@
 
   /** The normal behaviour: sends the full list at first and after each change. */
   void watch(Call call) throws IOException, InterruptedException {
+    int number = calls.get();
     String sentList = list;
     call.write(Peers.WATCH_RESPONSE_HEAD + Peers.chunk(sentList + "\n"));
     while (true) {
       TimeUnit.MILLISECONDS.sleep(HEARTBEAT_MILLIS);
+      if (number < firstAudibleCall) {
+        call.hang();
+        return;
+      }
       String current = list;
       call.write(Peers.chunk(current.equals(sentList) ? "\n" : current + "\n"));
       sentList = current;
     }
   }
 
+  /** Lets all open watches fall silent; new ones are answered. */
+  void silenceWatches() {
+    firstAudibleCall = calls.get() + 1;
+  }
+
   /** Overloaded: rejects the call after it was queued for the maximum time. */
   void overloaded(Call call) throws IOException, InterruptedException {
     TimeUnit.MILLISECONDS.sleep(MAX_QUEUE_MILLIS);
