Evicted connections count until their descriptors are released

Cause: Netty reports a close in a later task of the loop, so connections evicted in a batch of accepts were counted nowhere until then, and a stalled loop accepted all that waited at once. Change: a connection is counted as it is evicted.

--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -650,6 +650,11 @@
     return clientConnections.openCount();
   }
 
+  /** Returns the number of client connections that were accepted since the start. */
+  long acceptedClients() {
+    return clientConnections.acceptedCount();
+  }
+
   /** Returns the counts of relayed large values. */
   Relays relayCounts() {
     return relays.relays();
--- a/src/main/java/beamspread/node/client/ClientConnections.java
+++ b/src/main/java/beamspread/node/client/ClientConnections.java
@@ -202,7 +202,7 @@
   private boolean makeRoom() {
     ClientHandler candidate = first(lingering);
     if (candidate != null) {
-      remove(candidate);
+      removeBeforeClose(candidate);
       candidate.closeLingering();
       return true;
     }
@@ -213,7 +213,7 @@
         return false;
       }
       if (candidate.isUnusedAfterRead()) {
-        remove(candidate);
+        removeBeforeClose(candidate);
         candidate.evict();
         return true;
       }
@@ -277,14 +277,24 @@
   }
 
   void onClosed(ClientHandler client) {
-    unreleasedSockets.socketClosed();
-    refused.remove(client);
+    if (refused.remove(client) || open.contains(client)) {
+      unreleasedSockets.socketClosed();
+    }
     remove(client);
     if (draining && open.isEmpty()) {
       onEmpty.run();
     }
   }
 
+  /**
+   * Removes a connection that the caller closes now. That it has closed is reported later, in a
+   * task of the event loop, so its descriptor is counted here.
+   */
+  private void removeBeforeClose(ClientHandler client) {
+    unreleasedSockets.socketClosed();
+    remove(client);
+  }
+
   private void remove(ClientHandler client) {
     open.remove(client);
     markBusy(client);
--- a/src/test/java/beamspread/node/client/ClientConnectionsTest.java
+++ b/src/test/java/beamspread/node/client/ClientConnectionsTest.java
@@ -1,13 +1,16 @@
 package beamspread.node.client;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beamspread.loop.EventLoopMonitor;
 import beamspread.loop.UnreleasedSockets;
 import beamspread.node.wire.MemoryBudget;
 import beamspread.node.wire.MetaCommand;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -52,6 +55,17 @@
     }
   }
 
+  /** Opens one more connection, which sends this text. */
+  private void openAndSend(String text) {
+    MetaCommand.Decoder decoder = new MetaCommand.Decoder(new MemoryBudget(0), List.of());
+    EmbeddedChannel channel =
+        new EmbeddedChannel(decoder, new ClientHandler(NO_REQUESTS, connections, decoder));
+    open.add(channel);
+    if (channel.isActive()) {
+      channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+    }
+  }
+
   @AfterEach
   void close() {
     open.forEach(EmbeddedChannel::close);
@@ -86,6 +100,28 @@
     assertEquals(LIMITS.crowdedIdleTimeoutNanos(), previousNanos, 1);
   }
 
+  /** Guards against refused connections that make room for the next ones (incident 0003). */
+  @Test
+  void openConnectionsNeverExceedTheMaximum() {
+    for (int i = 0; i < 3 * MAX_CONNECTIONS; i++) {
+      openAndSend("mg key-");
+      assertTrue(connections.openCount() <= MAX_CONNECTIONS, connections.openCount() + " open");
+    }
+    assertEquals(MAX_CONNECTIONS, open.stream().filter(EmbeddedChannel::isActive).count());
+  }
+
+  /** Guards against closed sockets that still hold their descriptors (incident 0003). */
+  @Test
+  void socketsClosedInThisTurnCountAgainstTheDescriptors() {
+    open(MAX_CONNECTIONS);
+    assertTrue(connections.mayAccept(0));
+    for (int i = 0; i < 100; i++) {
+      open.remove(0).close();
+    }
+    assertTrue(connections.mayAccept(0), "as many as were open hold descriptors");
+    assertFalse(connections.mayAccept(100), "those that are accepted come on top");
+  }
+
   @Test
   void connectionsOfOtherProcessesShortenIdleTimeout() {
     open(MAX_CONNECTIONS / 3);
