--- a/src/main/java/beamspread/cli/AgentCommand.java
+++ b/src/main/java/beamspread/cli/AgentCommand.java
@@ -25,7 +25,7 @@
 final class AgentCommand implements Callable<Integer> {
   private static final Logger LOG = LoggerFactory.getLogger(AgentCommand.class);
 
-  /** Exit code of an agent one of whose threads has ended by an error. */
+  /** Exit code of an agent that has lost a thread that it can't do without. */
   private static final int EXIT_THREAD_ENDED = 70;
 
   @Option(
@@ -48,7 +48,7 @@
       return 0;
     }
     LogSetup.agent(Agent.log(config));
-    Thread.setDefaultUncaughtExceptionHandler(AgentCommand::endAfterFailure);
+    Thread.setDefaultUncaughtExceptionHandler(AgentCommand::onUncaught);
     try (UntilTold until = new UntilTold();
         Agent agent = Agent.start(config)) {
       spec.commandLine().getOut().println("agent listens on " + agent.url());
@@ -58,9 +58,11 @@
     return 0;
   }
 
-  /** Ends the process in place of an agent that lives on without one of its threads. */
-  private static void endAfterFailure(Thread thread, Throwable cause) {
-    LOG.error("thread {} has ended by an error: the agent ends", thread.getName(), cause);
-    Runtime.getRuntime().halt(EXIT_THREAD_ENDED);
+  /** Ends the process in place of an agent that lives on without a thread it can't do without. */
+  private static void onUncaught(Thread thread, Throwable cause) {
+    LOG.error("thread {} has ended by an error", thread.getName(), cause);
+    if (Agent.isEssential(thread)) {
+      Runtime.getRuntime().halt(EXIT_THREAD_ENDED);
+    }
   }
 }
