--- a/src/main/java/beamspread/agent/Agent.java
+++ b/src/main/java/beamspread/agent/Agent.java
@@ -22,7 +22,10 @@
 public final class Agent implements AutoCloseable {
   private static final long RECORD_MILLIS = 3000;
 
-  private final EventLoopThreads loopThreads = new EventLoopThreads("agent-io", Agent::onLoopEnded);
+  private static final String LOOP_THREAD = "agent-io";
+
+  private final EventLoopThreads loopThreads =
+      new EventLoopThreads(LOOP_THREAD, Agent::onLoopEnded);
   private final MultiThreadIoEventLoopGroup group;
   private final AgentCore core;
   private final AgentServer server;
@@ -68,6 +71,12 @@
     }
   }
 
+  /** Returns whether an agent can't go on without this thread, which nothing starts anew. */
+  public static boolean isEssential(Thread thread) {
+    String name = thread.getName();
+    return name.startsWith(LOOP_THREAD) || name.equals(RecordKeeper.THREAD);
+  }
+
   /** Leaves it to the thread's handler of uncaught errors what becomes of the process. */
   private static void onLoopEnded() {
     throw new IllegalStateException("the event loop has ended by an error");
--- a/src/main/java/beamspread/agent/RecordKeeper.java
+++ b/src/main/java/beamspread/agent/RecordKeeper.java
@@ -14,6 +14,9 @@
  * end at once cost one commit; the order of the calls is kept.
  */
 final class RecordKeeper implements AutoCloseable {
+  /** The name of its thread. */
+  static final String THREAD = "record";
+
   private static final int MOST_WAITING = 4096;
   private static final int MOST_TOGETHER = 256;
 
@@ -30,7 +33,7 @@
   private final FleetRecord record;
   private final int keep;
   private final BlockingQueue<Job> waiting = new LinkedBlockingQueue<>(MOST_WAITING);
-  private final Thread thread = new Thread(this::run, "record");
+  private final Thread thread = new Thread(this::run, THREAD);
   private volatile boolean closed;
   private volatile String trouble;
   private int writes;
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -598,6 +598,7 @@
   public static int rehearse() {
     try {
       Log log = new Log("rehearsal", false);
+      NettyLogging.install(log::warning);
       int served = Rehearsal.run(Rehearsal.sampleConfig(true), log);
       SighupHandler.register(() -> {});
       Node node = new Node(Rehearsal.sampleConfig(false));
