--- a/src/main/java/beamspread/node/client/ClientHandler.java
+++ b/src/main/java/beamspread/node/client/ClientHandler.java
@@ -613,11 +613,6 @@
     return idleSinceNanos;
   }
 
-  /** Closes the connection at once; the caller has made sure that it is quiet. */
-  void closeNow() {
-    channel.close();
-  }
-
   /** Closes a lingering connection after discarding what the client has sent. */
   void closeLingering() {
     // Closing a socket with unread data resets the connection, and the client could lose the error
@@ -701,7 +696,7 @@
     } else if (closeScheduled) {
       // Open requests have deadlines; written answers that the client does not read have none.
       if (now - closingSinceNanos > limits.stallTimeoutNanos() && isQuietAfterRead()) {
-        closeNow();
+        channel.close();
       }
     } else if (partialSinceNanos != 0) {
       long commandTimeoutNanos =
--- a/src/main/java/beamspread/node/client/InputMemory.java
+++ b/src/main/java/beamspread/node/client/InputMemory.java
@@ -49,9 +49,4 @@
       largest.turnAway();
     }
   }
-
-  /** Returns the capacity of all buffers together. */
-  public long totalBytes() {
-    return totalBytes;
-  }
 }
--- a/src/test/java/beamspread/node/HalfSentCommandsTest.java
+++ b/src/test/java/beamspread/node/HalfSentCommandsTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import beamspread.sim.WireException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -76,8 +75,8 @@
         Peers.Server discovery = Peers.discovery(41, server)) {
       node.configure("127.0.0.1:0", "", discovery, server);
       process = node.launchWithDescriptorLimit(DESCRIPTORS);
-      Peers.await("the node reports its status", () -> listenAddress(node) != null);
-      InetSocketAddress address = listenAddress(node);
+      Peers.await("the node reports its status", () -> node.listenAddress() != null);
+      InetSocketAddress address = node.listenAddress();
       long maxDescriptors = 0;
       long maxMillis = 0;
       for (int wave = 0; wave < WAVES; wave++) {
@@ -111,8 +110,8 @@
         Peers.Server discovery = Peers.discovery(41, server)) {
       node.configure("127.0.0.1:0", "", discovery, server);
       process = node.launchWithDescriptorLimit(DESCRIPTORS / 2);
-      Peers.await("the node reports its status", () -> listenAddress(node) != null);
-      InetSocketAddress address = listenAddress(node);
+      Peers.await("the node reports its status", () -> node.listenAddress() != null);
+      InetSocketAddress address = node.listenAddress();
       openWave(address);
       Peers.await("a connection is not accepted", () -> node.logged("could not be accepted"));
       for (Peers.Client client : crowd) {
@@ -126,14 +125,4 @@
       }
     }
   }
-
-  /** Returns the address for clients from the status; null while there is no status. */
-  private static InetSocketAddress listenAddress(ServeProcess node) {
-    try {
-      String[] at = node.status().requiredText("listen").split(":");
-      return new InetSocketAddress(at[0], Integer.parseInt(at[1]));
-    } catch (IOException | WireException e) {
-      return null;
-    }
-  }
 }
--- a/src/test/java/beamspread/node/PipelinedInputMemoryTest.java
+++ b/src/test/java/beamspread/node/PipelinedInputMemoryTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import beamspread.sim.WireException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -84,8 +83,8 @@
         Peers.Server discovery = Peers.discovery(41, server)) {
       node.configure("127.0.0.1:0", "", discovery, server);
       process = node.launch(JVM_OPTIONS);
-      Peers.await("the node reports its status", () -> listenAddress(node) != null);
-      InetSocketAddress address = listenAddress(node);
+      Peers.await("the node reports its status", () -> node.listenAddress() != null);
+      InetSocketAddress address = node.listenAddress();
       try (Peers.Client usual = new Peers.Client(address)) {
         longestAnswerMillis(usual);
         sendAllAtOnce(address);
@@ -104,14 +103,4 @@
       }
     }
   }
-
-  /** Returns the address for clients from the status; null while there is no status. */
-  private static InetSocketAddress listenAddress(ServeProcess node) {
-    try {
-      String[] at = node.status().requiredText("listen").split(":");
-      return new InetSocketAddress(at[0], Integer.parseInt(at[1]));
-    } catch (IOException | WireException e) {
-      return null;
-    }
-  }
 }
--- a/src/test/java/beamspread/node/ServeProcess.java
+++ b/src/test/java/beamspread/node/ServeProcess.java
@@ -116,6 +116,16 @@
     }
   }
 
+  /** Returns the address for clients from the status; null while there is no status. */
+  InetSocketAddress listenAddress() {
+    try {
+      String[] at = status().requiredText("listen").split(":");
+      return new InetSocketAddress(at[0], Integer.parseInt(at[1]));
+    } catch (IOException | WireException e) {
+      return null;
+    }
+  }
+
   /** Sends it SIGTERM. */
   static void terminate(Process process) throws IOException, InterruptedException {
     new ProcessBuilder("kill", "-TERM", Long.toString(process.pid())).start().waitFor();
--- a/src/test/java/beamspread/node/StaleListTest.java
+++ b/src/test/java/beamspread/node/StaleListTest.java
@@ -2,9 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import beamspread.sim.WireException;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -85,23 +83,13 @@
       node.configure("127.0.0.1:0", "", discovery.address(), 1, staying.server, leaving.server);
       process = node.launch();
       Peers.await(name + " follows the list", () -> node.logged("discovery: version 41"));
-      Peers.await(name + " reports its status", () -> listenAddress() != null);
-      client = new Peers.Client(listenAddress());
+      Peers.await(name + " reports its status", () -> node.listenAddress() != null);
+      client = new Peers.Client(node.listenAddress());
       scheduler.scheduleAtFixedRate(
           this::sendRequest, 0, REQUEST_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
       Peers.await(name + " uses both servers", () -> leaving.arrivals.size() > 3);
     }
 
-    /** Returns the address for clients from the status; null while there is no status. */
-    private InetSocketAddress listenAddress() {
-      try {
-        String[] at = node.status().requiredText("listen").split(":");
-        return new InetSocketAddress(at[0], Integer.parseInt(at[1]));
-      } catch (IOException | WireException e) {
-        return null;
-      }
-    }
-
     private void sendRequest() {
       try {
         String id = Integer.toString(requestCount.incrementAndGet());
@@ -281,7 +269,10 @@
       Peers.await("the new list", () -> scenario.node.logged("discovery: version 42"));
       assertThat(System.nanoTime() - upNanos).isLessThan(CHANGE_EFFECTIVE_MILLIS * 1_000_000L);
       int before = scenario.servedAt.size();
+      Peers.await("a request is served", () -> scenario.servedAt.size() > before);
+      int refusedBefore = scenario.refusedAt.size();
       Peers.await("requests are served", () -> scenario.servedAt.size() > before + 20);
+      assertThat(scenario.refusedAt).as("refused by the new list").hasSize(refusedBefore);
       assertThat(scenario.otherAnswers).isEmpty();
     }
   }
