BoxServer ends its connections on its event loop, whichever thread closes it

ReplayTest.eachRequestHasItsEnd... ended with a ConcurrentModificationException in BoxServer.close once on arm64: close() walked over the set of connections on the caller's thread while the event loop removed those that had ended.

close() now ends the server on its loop.

BoxServerTest.closesFromAnotherThreadWhileConnectionsEnd: ConcurrentModificationException before, passes now; ReplayTest passes.

--- a/src/main/java/beamspread/standin/BoxServer.java
+++ b/src/main/java/beamspread/standin/BoxServer.java
@@ -147,10 +147,15 @@
     }
   }
 
+  /** Ends it for good; may be called from any thread. */
   @Override
   public void close() {
     listener.close();
-    open.forEach(connection -> connection.channel.close());
+    if (loop.inEventLoop()) {
+      end();
+    } else {
+      loop.execute(this::end);
+    }
   }
 
   private void accept(Channel channel) {
--- a/src/test/java/beamspread/standin/BoxServerTest.java
+++ b/src/test/java/beamspread/standin/BoxServerTest.java
@@ -10,6 +10,8 @@
 import java.io.InputStreamReader;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -132,4 +134,24 @@
     }
     assertThat(group.next().submit(box::turnedDown).get()).isEqualTo(1);
   }
+
+  @Test
+  void closesFromAnotherThreadWhileConnectionsEnd() throws Exception {
+    for (int round = 0; round < 20; round++) {
+      box(1, 200, 200);
+      List<Client> clients = new ArrayList<>();
+      for (int i = 0; i < 100; i++) {
+        clients.add(new Client());
+        clients.get(i).ask("mn\r\n");
+      }
+      for (Client client : clients) {
+        assertThat(client.line()).isEqualTo("MN");
+      }
+      for (Client client : clients) {
+        client.socket.setSoLinger(true, 0);
+        client.close();
+      }
+      box.close();
+    }
+  }
 }
