--- a/src/test/java/beamspread/node/ServeProcess.java
+++ b/src/test/java/beamspread/node/ServeProcess.java
@@ -20,6 +20,7 @@
   final Path log;
   private final Path folder;
   private final Path status;
+  private boolean parallelAttempts = true;
 
   /** Uses files of this name in the folder of a test. */
   ServeProcess(Path folder, String name) {
@@ -29,6 +30,11 @@
     status = folder.resolve(name + ".sock");
   }
 
+  /** Says whether several attempts of a request may be in flight; by default they may. */
+  void parallelAttempts(boolean allowed) {
+    parallelAttempts = allowed;
+  }
+
   /**
    * Writes its configuration.
    *
@@ -65,14 +71,21 @@
          "limits":{"cores":1,"memory_mb":64,"sockets":256},"known":%s,
          "settings":{"zone":"a","azs":["a"],"kinds":["box"],"instances":%d,"discovery":"ask",
           "caps":{"attempts-cap":6,"cancel":true,"connect-timeout":1,"conn-idle":60,"multiplex":32,
-           "parallel-tries":true},
+           "parallel-tries":%s},
           "contract":{"ask-within":10,"drain-grace":2,"warm-within":10,"cold-from":0.5,
            "overload-factor":3,"overload-for":2},
           "services":[{"name":"read","slo":1,"give-up":2,"effect":"retryable"},
            {"name":"put","slo":1,"give-up":2,"effect":"fragile"},
            {"name":"keyed","slo":1,"give-up":2,"effect":"dedup","group":"zone","repeat-window":1}]}}
         """
-            .formatted(listen, discovery.getPort(), status, extraFields, list, instances));
+            .formatted(
+                listen,
+                discovery.getPort(),
+                status,
+                extraFields,
+                list,
+                instances,
+                parallelAttempts));
   }
 
   Process launch() throws IOException {
