Status and log tell why connections to cache servers and of clients have ended

server_closes and client_closes count ended connections by cause; a line names each connection to a cache server that ends with requests in flight, and each client's connection that the node closes with answers owed.

MalformedRepliesTest.countsWhyConnectionsEnded; MalformedRepliesTest, ClientConnectionsTest, StalledReplyTest, ArchitectureTest pass.

--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -366,6 +366,11 @@
     log.info(description);
   }
 
+  @Override
+  public void connectionClosed(String description) {
+    log.info(description);
+  }
+
   @Override
   public void attemptWritten(Attempt attempt) {
     metrics.attemptWritten();
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -7,12 +7,14 @@
 import beamspread.loop.NettyLogging;
 import beamspread.loop.SocketPolling;
 import beamspread.loop.UnreleasedSockets;
+import beamspread.node.client.ClientCloseCause;
 import beamspread.node.client.ClientConnections;
 import beamspread.node.client.ClientHandler;
 import beamspread.node.client.InputMemory;
 import beamspread.node.handover.SharedFolder;
 import beamspread.node.mgmt.MgmtServer;
 import beamspread.node.relay.ValueRelays;
+import beamspread.node.server.CloseCause;
 import beamspread.node.tier.TierSocket;
 import beamspread.node.variants.TablePuller;
 import beamspread.node.variants.VariantConfig;
@@ -41,6 +43,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -235,6 +238,7 @@
         dispatcher.listStatus(),
         dispatcher.unservedByCause(),
         dispatcher.pools().replyStatistics(),
+        clientConnections.closesByCause(),
         NodeStatus.LargeValues.of(relayCounts()),
         draining,
         loopWatch.longestTurnNanos() / 1_000_000,
@@ -656,6 +660,16 @@
     return clientConnections.acceptedCount();
   }
 
+  /** Returns why connections to cache servers have ended. */
+  Map<CloseCause, Long> serverClosesByCause() {
+    return dispatcher.pools().replyStatistics().closesByCause();
+  }
+
+  /** Returns why connections of clients have ended. */
+  Map<ClientCloseCause, Long> clientClosesByCause() {
+    return clientConnections.closesByCause();
+  }
+
   /** Returns the counts of relayed large values. */
   Relays relayCounts() {
     return relays.relays();
--- a/src/main/java/beamspread/node/NodeStatus.java
+++ b/src/main/java/beamspread/node/NodeStatus.java
@@ -1,6 +1,7 @@
 package beamspread.node;
 
 import beamspread.model.ServerEntry;
+import beamspread.node.client.ClientCloseCause;
 import beamspread.node.discovery.ListStatus;
 import beamspread.node.server.ReplyStatistics;
 import beamspread.node.tier.TierSocket;
@@ -26,7 +27,8 @@
  * @param servers how many cache servers the list names in each state
  * @param list the status of the list of cache servers
  * @param unserved how many requests this node has answered itself for each cause, since the start
- * @param replies counts of replies that answer nothing and of refusals
+ * @param replies counts of replies that answer nothing, of refusals, and of ended connections
+ * @param clientCloses how many connections of clients have ended for each cause, since the start
  * @param largeValues counts of large values
  * @param draining whether a planned restart has begun
  * @param longestTurnMs the longest iteration of the event loop since the start, in milliseconds
@@ -45,6 +47,7 @@
     ListStatus list,
     Map<UnservedCause, Long> unserved,
     ReplyStatistics replies,
+    Map<ClientCloseCause, Long> clientCloses,
     LargeValues largeValues,
     boolean draining,
     long longestTurnMs,
@@ -137,6 +140,7 @@
               list.write(json);
               Json.writeCounts(json, "unserved", unserved);
               replies.write(json);
+              Json.writeCounts(json, "client_closes", clientCloses);
               largeValues.write(json);
               json.writeBooleanField("draining", draining);
               json.writeNumberField("longest_turn_ms", longestTurnMs);
--- a/src/main/java/beamspread/node/RequestIntake.java
+++ b/src/main/java/beamspread/node/RequestIntake.java
@@ -220,6 +220,11 @@
     metrics.replied(serviceClass, RequestCounters.Ending.OVERLOAD);
   }
 
+  @Override
+  public void connectionClosed(String description) {
+    log.info(description);
+  }
+
   @Override
   public void reportError(String where, Throwable cause) {
     log.error(where, cause);
--- a/src/main/java/beamspread/node/client/ClientConnections.java
+++ b/src/main/java/beamspread/node/client/ClientConnections.java
@@ -3,10 +3,12 @@
 import beamspread.loop.EventLoopMonitor;
 import beamspread.loop.UnreleasedSockets;
 import beamspread.pool.IdleTimeScale;
+import java.util.EnumMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /** All client connections: tracks which are idle, and which are closed to make room. */
@@ -85,6 +87,7 @@
   /** Rejected connections that wait for the client to read the error line. */
   private final LinkedHashSet<ClientHandler> lingering = new LinkedHashSet<>();
 
+  private final Map<ClientCloseCause, Long> closes = new EnumMap<>(ClientCloseCause.class);
   private volatile boolean draining;
   private long drainDeadlineNanos;
   private Runnable onEmpty;
@@ -313,6 +316,16 @@
     return open.size();
   }
 
+  /** Records why a connection ended. */
+  void recordClose(ClientCloseCause cause) {
+    closes.merge(cause, 1L, Long::sum);
+  }
+
+  /** Returns how many connections have ended since the start, for each cause. */
+  public Map<ClientCloseCause, Long> closesByCause() {
+    return closes;
+  }
+
   /** Returns the number of connections accepted since the start. */
   public long acceptedCount() {
     return acceptedCount;
--- a/src/main/java/beamspread/node/client/ClientHandler.java
+++ b/src/main/java/beamspread/node/client/ClientHandler.java
@@ -111,6 +111,9 @@
   /** Whether all answers are written and the client has yet to close. */
   private boolean lingering;
 
+  /** Why this node has closed the connection; until it has, the client does. */
+  private ClientCloseCause closeCause = ClientCloseCause.BY_CLIENT;
+
   /** Creates the handler of one connection; it follows the decoder in the pipeline. */
   public ClientHandler(
       RequestHandler requestHandler, ClientConnections connections, MetaCommand.Decoder decoder) {
@@ -253,7 +256,7 @@
       streamListener = null;
       if (streaming) {
         // Within a value the client would read a line as part of the value.
-        channel.close();
+        close(ClientCloseCause.VALUE_INCOMPLETE);
         return;
       }
       releaseBuffers();
@@ -379,6 +382,7 @@
     }
     closing = true;
     lingering = true;
+    setCloseCause(ClientCloseCause.REJECTED);
     closingSinceNanos = System.nanoTime();
     connections.markLingering(this);
     channel
@@ -545,8 +549,29 @@
     updateAutoRead();
   }
 
+  private void close(ClientCloseCause cause) {
+    setCloseCause(cause);
+    channel.close();
+  }
+
+  private void setCloseCause(ClientCloseCause cause) {
+    if (closeCause == ClientCloseCause.BY_CLIENT) {
+      closeCause = cause;
+    }
+  }
+
+  private void recordClose() {
+    connections.recordClose(closeCause);
+    if (closeCause != ClientCloseCause.BY_CLIENT && !answerSlots.isEmpty()) {
+      requestHandler.connectionClosed(
+          "connection of client %s closed with %d answers owed (%s)"
+              .formatted(channel.remoteAddress(), answerSlots.size(), closeCause));
+    }
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    recordClose();
     connections.onClosed(this);
     connections.inputMemory().update(this, 0);
     for (AnswerSlot slot = answerSlots.poll(); slot != null; slot = answerSlots.poll()) {
@@ -570,6 +595,9 @@
     if (cause instanceof OutOfMemoryError) {
       connections.inputMemory().turnAwayLargest();
     }
+    if (!(cause instanceof IOException)) {
+      setCloseCause(ClientCloseCause.ERROR);
+    }
     ctx.close();
   }
 
@@ -579,6 +607,7 @@
    */
   private void refuse() {
     closing = true;
+    setCloseCause(ClientCloseCause.REFUSED);
     decoder.discardInput();
     writeBusyLine();
     // As a separate task, since the caller is an event of this channel.
@@ -600,7 +629,7 @@
       writeBusyLine();
     }
     closing = true;
-    channel.close();
+    close(ClientCloseCause.EVICTED);
   }
 
   /** Returns when data last came, on the idle clock. */
@@ -644,7 +673,7 @@
     closeScheduled = false;
     if (quiet) {
       closing = true;
-      channel.close();
+      close(connections.isDraining() ? ClientCloseCause.DRAINED : ClientCloseCause.IDLE);
     } else {
       continueDrain();
     }
@@ -687,7 +716,7 @@
       // The client may have read while the event loop was stalled.
       SocketPolling.writeNow(channel);
       if (stalledSinceNanos != 0) {
-        channel.close();
+        close(ClientCloseCause.ANSWERS_UNREAD);
       }
     } else if (lingering) {
       if (now - closingSinceNanos > limits.lingerTimeoutNanos()) {
@@ -696,7 +725,7 @@
     } else if (closeScheduled) {
       // Open requests have deadlines; written answers that the client does not read have none.
       if (now - closingSinceNanos > limits.stallTimeoutNanos() && isQuietAfterRead()) {
-        channel.close();
+        close(ClientCloseCause.ANSWERS_UNREAD);
       }
     } else if (partialSinceNanos != 0) {
       long commandTimeoutNanos =
--- a/src/main/java/beamspread/node/client/RequestHandler.java
+++ b/src/main/java/beamspread/node/client/RequestHandler.java
@@ -23,6 +23,13 @@
   /** Called when a request of this class was refused before it was passed here. */
   void requestRefused(String serviceClass);
 
+  /**
+   * Called when this node has closed a client's connection although it owed answers there.
+   *
+   * @param description which one, why, and how much was owed
+   */
+  void connectionClosed(String description);
+
   /** Reports an unexpected exception. */
   void reportError(String component, Throwable cause);
 }
--- a/src/main/java/beamspread/node/server/AttemptListener.java
+++ b/src/main/java/beamspread/node/server/AttemptListener.java
@@ -24,6 +24,13 @@
    */
   void replyProblem(String description);
 
+  /**
+   * Called when a connection has ended with attempts in flight, before their ends are reported.
+   *
+   * @param description which one, why, and what was in flight
+   */
+  void connectionClosed(String description);
+
   /** Called for a reply to an attempt, which may be settled by now. */
   void replyReceived(Attempt attempt, MetaReply reply);
 
--- a/src/main/java/beamspread/node/server/ReplyStatistics.java
+++ b/src/main/java/beamspread/node/server/ReplyStatistics.java
@@ -1,11 +1,14 @@
 package beamspread.node.server;
 
+import beamspread.node.wire.Json;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
+import java.util.EnumMap;
+import java.util.Map;
 
 /**
- * Counts replies of cache servers that answer nothing, and what became of refusals of attempts that
- * must not be repeated. All times are of {@link System#nanoTime}.
+ * Counts replies of cache servers that answer nothing, what became of refusals of attempts that
+ * must not be repeated, and why connections ended. All times are of {@link System#nanoTime}.
  */
 public final class ReplyStatistics {
   /** How long after an unsolicited reply refusals are not believed without full proof. */
@@ -16,6 +19,7 @@
   private long proven;
   private long closed;
   private long unproven;
+  private final Map<CloseCause, Long> closes = new EnumMap<>(CloseCause.class);
 
   /** Records a reply that answers nothing. */
   void recordUnsolicited(long now) {
@@ -38,12 +42,22 @@
     unproven++;
   }
 
+  /** Records the end of a connection. */
+  void recordClose(CloseCause cause) {
+    closes.merge(cause, 1L, Long::sum);
+  }
+
+  /** Returns how many connections have ended since the start, for each cause. */
+  public Map<CloseCause, Long> closesByCause() {
+    return closes;
+  }
+
   /** Returns whether a cache server has lately sent a reply that answers nothing. */
   boolean isUnsolicitedLikely(long now) {
     return unsolicited > 0 && now - lastUnsolicitedAt < SUSPICION_NANOS;
   }
 
-  /** Writes the field {@code replies} of the status. */
+  /** Writes the fields {@code replies} and {@code server_closes} of the status. */
   public void write(JsonGenerator json) throws IOException {
     json.writeObjectFieldStart("replies");
     json.writeNumberField("unsolicited", unsolicited);
@@ -51,5 +65,6 @@
     json.writeNumberField("closed", closed);
     json.writeNumberField("unproven", unproven);
     json.writeEndObject();
+    Json.writeCounts(json, "server_closes", closes);
   }
 }
--- a/src/main/java/beamspread/node/server/ServerConnection.java
+++ b/src/main/java/beamspread/node/server/ServerConnection.java
@@ -64,6 +64,9 @@
   /** Whether it was closed because of invalid data. */
   private boolean protocolError;
 
+  /** Why this node has closed it; until it has, the server does. */
+  private CloseCause closeCause = CloseCause.BY_SERVER;
+
   private boolean closed;
 
   ServerConnection(
@@ -122,8 +125,21 @@
     }
   }
 
+  /** Gives up the large value that is being received. */
   @Override
   public void close() {
+    close(CloseCause.VALUE_GIVEN_UP);
+  }
+
+  /** Closes the connection, since the pool has no more use for it. */
+  void retire() {
+    close(CloseCause.RETIRED);
+  }
+
+  private void close(CloseCause cause) {
+    if (closeCause == CloseCause.BY_SERVER) {
+      closeCause = cause;
+    }
     channel.close();
   }
 
@@ -380,7 +396,7 @@
   private void closeForProtocolError() {
     protocolError = true;
     pools.connectionEnding(id, true);
-    channel.close();
+    close(CloseCause.INVALID_REPLY);
   }
 
   /**
@@ -410,6 +426,7 @@
       sink.aborted();
       sink = null;
     }
+    recordClose();
     confirmRefusalByClose();
     Outcome.Result result = protocolError ? Outcome.Result.SPOILT : Outcome.Result.RESET;
     for (Attempt attempt : replies.removeUnanswered()) {
@@ -420,6 +437,13 @@
     onClosed.run();
   }
 
+  private void recordClose() {
+    statistics.recordClose(closeCause);
+    if (replies.hasUnanswered()) {
+      listener.connectionClosed("closed with requests in flight (" + closeCause + "): " + this);
+    }
+  }
+
   /**
    * Settles a refused attempt if the server has closed the connection right behind the line, as one
    * does that has too many connections. Not once servers have sent lines that answer nothing: one
--- a/src/main/java/beamspread/node/server/ServerPools.java
+++ b/src/main/java/beamspread/node/server/ServerPools.java
@@ -192,7 +192,7 @@
 
   @Override
   public void close(long connectionId) {
-    connections.get(connectionId).close();
+    connections.get(connectionId).retire();
   }
 
   @Override
--- a/src/test/java/beamspread/node/MalformedRepliesTest.java
+++ b/src/test/java/beamspread/node/MalformedRepliesTest.java
@@ -3,7 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import beamspread.LeakCheck;
+import beamspread.node.client.ClientCloseCause;
 import beamspread.node.client.ClientConnections;
+import beamspread.node.server.CloseCause;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
@@ -98,6 +101,27 @@
     }
   }
 
+  @Test
+  void countsWhyConnectionsEnded() throws Exception {
+    try (Peers.Server server = new Peers.Server(firstAnswer("noise\r\n"));
+        Peers.Rig rig = new Peers.Rig(DEFAULT_LIMITS, server)) {
+      try (Peers.Client client = rig.client()) {
+        assertEquals("VA 5 O1", client.read("1").readLine());
+      }
+      assertEquals(Map.of(CloseCause.INVALID_REPLY, 1L), rig.node.serverClosesByCause());
+      try (Peers.Client client = rig.client()) {
+        client.send("noise\r\n".repeat(20));
+        while (client.readLine() != null) {
+          continue;
+        }
+      }
+      Peers.await("both clients have gone", () -> rig.node.clientCount() == 0);
+      assertEquals(
+          Map.of(ClientCloseCause.BY_CLIENT, 1L, ClientCloseCause.REJECTED, 1L),
+          rig.node.clientClosesByCause());
+    }
+  }
+
   @Test
   void errorLineDoesNotCloseServerConnection() throws Exception {
     try (Peers.Server server = new Peers.Server(firstAnswer("CLIENT_ERROR what\r\n"));
--- a/src/test/java/beamspread/node/client/ClientConnectionsTest.java
+++ b/src/test/java/beamspread/node/client/ClientConnectionsTest.java
@@ -31,6 +31,9 @@
           throw new AssertionError("unexpected request");
         }
 
+        @Override
+        public void connectionClosed(String description) {}
+
         @Override
         public void requestRefused(String serviceClass) {
           throw new AssertionError("unexpected request");
--- a/src/test/java/beamspread/node/server/StalledReplyTest.java
+++ b/src/test/java/beamspread/node/server/StalledReplyTest.java
@@ -66,6 +66,9 @@
     @Override
     public void replyProblem(String description) {}
 
+    @Override
+    public void connectionClosed(String description) {}
+
     @Override
     public void attemptWritten(Attempt attempt) {}
 
