A reply that pauses no longer ends its connection: its request is sent elsewhere too

Cause: ServerConnection.closeIfStalled took 0.4 s of silence within a reply for invalid data and closed the connection.

Change: a pause is reported to the decision module and ends nothing. Where parallel attempts are allowed, a request that may be repeated is sent to another server too, at the price of a saved retry, and the first whole answer wins. An unsafe request waits. Nothing is written behind a paused reply. The fetch that others wait for ends with the pause, as before. A value that nobody awaits and that makes no progress is given up.

--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -366,6 +366,16 @@
     log.info(description);
   }
 
+  @Override
+  public void replyStalled(Attempt serverAttempt, long pausedNanos) {
+    RequestAttempt attempt = (RequestAttempt) serverAttempt;
+    OpenRequest request = attempt.request;
+    if (!attempt.isSettled() && !request.ended) {
+      events.post(
+          now -> balancer.onReplyStalled(now, request.id(), attempt.number, pausedNanos / 1e9));
+    }
+  }
+
   @Override
   public void connectionClosed(String description) {
     log.info(description);
@@ -558,6 +568,15 @@
     }
   }
 
+  @Override
+  public void giveUp(String requestId, int number) {
+    OpenRequest request = openRequests.get(requestId);
+    if (request != null && number < request.attempts.size()) {
+      log.info("gives up a reply that makes no progress, request " + requestId);
+      abandon(request.attempts.get(number), Outcome.Result.TIMEOUT);
+    }
+  }
+
   @Override
   public void refuse(String requestId, double retryAfter) {
     long millis = Math.round(retryAfter * 1e3);
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -79,7 +79,7 @@
   /** Delay from closing the listener to closing connections: one iteration of the event loop. */
   private static final long LISTENER_CLOSE_MILLIS = 2;
 
-  /** How long a partly received reply of a cache server may make no progress. */
+  /** Pause within a reply of a cache server after which its request is sent elsewhere too. */
   private static final long STALLED_REPLY_NANOS = 400_000_000L;
 
   /** The node's memory is this many times what undecoded input of clients may take. */
--- a/src/main/java/beamspread/node/server/AttemptListener.java
+++ b/src/main/java/beamspread/node/server/AttemptListener.java
@@ -24,6 +24,14 @@
    */
   void replyProblem(String description);
 
+  /**
+   * Called repeatedly while an attempt waits for a reply, its own or one before it, that has begun
+   * and makes no progress. The attempt stays in flight.
+   *
+   * @param pausedNanos for how long nothing of the reply has come
+   */
+  void replyStalled(Attempt attempt, long pausedNanos);
+
   /**
    * Called when a connection has ended with attempts in flight, before their ends are reported.
    *
--- a/src/main/java/beamspread/node/server/ReplyStatistics.java
+++ b/src/main/java/beamspread/node/server/ReplyStatistics.java
@@ -19,6 +19,8 @@
   private long proven;
   private long closed;
   private long unproven;
+  private long stalled;
+  private long resumed;
   private final Map<CloseCause, Long> closes = new EnumMap<>(CloseCause.class);
 
   /** Records a reply that answers nothing. */
@@ -42,6 +44,16 @@
     unproven++;
   }
 
+  /** Records a reply that has begun and makes no progress. */
+  void recordStall() {
+    stalled++;
+  }
+
+  /** Records that a reply that had made no progress has continued. */
+  void recordStallEnd() {
+    resumed++;
+  }
+
   /** Records the end of a connection. */
   void recordClose(CloseCause cause) {
     closes.merge(cause, 1L, Long::sum);
@@ -64,6 +76,8 @@
     json.writeNumberField("proven", proven);
     json.writeNumberField("closed", closed);
     json.writeNumberField("unproven", unproven);
+    json.writeNumberField("stalled", stalled);
+    json.writeNumberField("resumed", resumed);
     json.writeEndObject();
     Json.writeCounts(json, "server_closes", closes);
   }
--- a/src/main/java/beamspread/node/server/ServerConnection.java
+++ b/src/main/java/beamspread/node/server/ServerConnection.java
@@ -380,8 +380,9 @@
     }
     boolean incomplete = decoder.isIncomplete();
     long now = System.nanoTime();
-    // The receiver of a large value decides how long it may take.
-    stall.readCompleted(incomplete && streamingAttempt == null, decoder.readCount(), now);
+    if (stall.readCompleted(incomplete, decoder.readCount(), now)) {
+      statistics.recordStallEnd();
+    }
     if (incomplete && streamingAttempt == null && !replies.hasUnanswered()) {
       closeForProtocolError();
     } else {
@@ -400,17 +401,39 @@
   }
 
   /**
-   * Closes the connection if a reply has begun and does not continue: a line without CRLF, a length
-   * beyond the value, or a machine that vanished halfway. The total time is bounded by the
-   * deadlines of the attempts.
+   * Reports the attempts that wait for a reply that has begun and does not continue: the server may
+   * pause, or never end it (a line without CRLF, a length beyond the value, a machine that vanished
+   * halfway). They stay in flight until their deadlines, since the rest may still come. A large
+   * value that nobody awaits is given up.
    */
-  void closeIfStalled(long now, long maxStallNanos) {
-    if (stall.exceeds(now, maxStallNanos) && !closed) {
+  void checkStall(long now, long minStallNanos) {
+    if (!isStalled(now, minStallNanos)) {
+      return;
+    }
+    List<Attempt> waiting =
+        replies.unanswered().stream().filter(attempt -> !attempt.isSettled()).toList();
+    if (streamingAttempt != null && sink == null && waiting.isEmpty()) {
+      close();
+      return;
+    }
+    if (streamingAttempt == null && stall.markStalled()) {
+      pools.answerStalled(id);
+      statistics.recordStall();
+      listener.replyProblem("a reply has begun and makes no progress: " + this);
+    }
+    long pausedNanos = stall.pausedNanos(now);
+    waiting.forEach(attempt -> listener.replyStalled(attempt, pausedNanos));
+  }
+
+  private boolean isStalled(long now, long minStallNanos) {
+    if (closed || protocolError || !stall.exceeds(now, minStallNanos)) {
+      return false;
+    }
+    if (streamingAttempt == null) {
+      // The rest may be in the socket: this node may have been held up itself.
       readNow();
-      if (stall.exceeds(now, maxStallNanos) && !closed) {
-        closeForProtocolError();
-      }
     }
+    return !closed && !protocolError && stall.exceeds(now, minStallNanos);
   }
 
   /** Reads the socket now; only from a task of the event loop. */
--- a/src/main/java/beamspread/node/server/ServerPools.java
+++ b/src/main/java/beamspread/node/server/ServerPools.java
@@ -22,7 +22,7 @@
   private final Executor loop;
   private final Bootstrap bootstrap;
   private final AttemptListener listener;
-  private final long maxReplyStallNanos;
+  private final long minReplyStallNanos;
   private final Runnable onSocketClosed;
   private final Pools<Attempt> pools;
   private final Map<Long, SocketAddress> addresses = new HashMap<>();
@@ -32,7 +32,7 @@
   private long failedOpens;
 
   /**
-   * @param maxReplyStallNanos how long an incomplete reply may stall
+   * @param minReplyStallNanos how long an incomplete reply pauses before it is reported
    * @param random numbers from 0 to 1
    * @param onSocketClosed runs each time a socket was closed
    */
@@ -40,14 +40,14 @@
       Executor loop,
       Bootstrap bootstrap,
       PoolSettings settings,
-      long maxReplyStallNanos,
+      long minReplyStallNanos,
       DoubleSupplier random,
       Runnable onSocketClosed,
       AttemptListener listener) {
     this.loop = loop;
     this.bootstrap = bootstrap;
     this.listener = listener;
-    this.maxReplyStallNanos = maxReplyStallNanos;
+    this.minReplyStallNanos = minReplyStallNanos;
     this.onSocketClosed = onSocketClosed;
     this.pools = new Pools<>(settings, random, this);
   }
@@ -134,11 +134,11 @@
     pools.closeIdle(server);
   }
 
-  /** Closes expired connections and those with a stalled reply. */
+  /** Closes expired connections, and reports replies that make no progress. */
   public void sweep(long now) {
     pools.tick(now);
     List.copyOf(connections.values())
-        .forEach(connection -> connection.closeIfStalled(now, maxReplyStallNanos));
+        .forEach(connection -> connection.checkStall(now, minReplyStallNanos));
   }
 
   // Actions of the pools.
--- a/src/main/java/beamspread/policy/Actions.java
+++ b/src/main/java/beamspread/policy/Actions.java
@@ -8,6 +8,13 @@
   /** Cancels one attempt. */
   void cancel(String requestId, int attempt);
 
+  /**
+   * Stops waiting for an attempt whose reply has begun and makes no progress; it ends as timed out.
+   */
+  default void giveUp(String requestId, int attempt) {
+    cancel(requestId, attempt);
+  }
+
   /**
    * Gives the final answer "refused": the request was not carried out, and repeating it is safe.
    *
--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -13,7 +13,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.function.ToDoubleFunction;
 
 /**
  * Chooses a server for each request: Random Jump Consistent Hashing over the listed servers, with a
@@ -27,35 +26,9 @@
   /** Jumps before falling back to the least loaded server; each draws one of many servers. */
   private static final int MAX_JUMPS = 64;
 
-  /**
-   * Retries earned by each answer, and the most that are saved up. If everything fails, unlimited
-   * retries multiply the load that causes the failures; a tenth still covers single failures.
-   */
-  private static final double RETRIES_PER_ANSWER = 0.1;
-
-  private static final double MAX_SAVED_RETRIES = 10;
-
-  /** Part of a class's aim that a cache hit may take before its server counts as saturated. */
-  private static final double HIT_PART_OF_AIM = 0.4;
-
-  /**
-   * A key is cached in this zone too if its recent requests here times the price of crossing zones
-   * reach this value; below it, the extra misses cost more.
-   */
-  private static final double MIN_ZONE_COPY_SAVING = 0.15;
-
-  /** Jumps that look for a server in this zone, for each zone and each owner of the key. */
-  private static final double JUMPS_PER_ZONE_AND_OWNER = 3;
-
   /** Likely fetches that are always admitted, per request: about the misses of a warm fleet. */
   private static final double MIN_FETCHES_PER_REQUEST = 0.1;
 
-  /** CPU utilization at which a server's queue grows long. */
-  private static final double FULL_UTILIZATION = 0.85;
-
-  /** A key with more than this part of a server's fair share of requests gets several owners. */
-  private static final double HOT_KEY_PART = 0.5;
-
   /** Part of the limit on open requests that reads may use: writes are worth more. */
   private static final double MAX_READS_PART = 0.875;
 
@@ -66,9 +39,11 @@
   private final Actions actions;
   private final SplittableRandom random;
   private final MembershipFeed feed;
-  private final KeyFrequencySketch keyFrequencies = new KeyFrequencySketch();
+  private final KeyOwners keyOwners;
   private final OriginGuard guard = new OriginGuard();
   private final Rates rates = new Rates();
+  private final FleetLoad fleetLoad = new FleetLoad();
+  private final RetryBudget retries = new RetryBudget();
   private final SlotTable slots;
   private final Map<String, Settings.ServiceClass> classesByName = new HashMap<>();
   private final Map<String, PendingRequest> pendingById = new HashMap<>();
@@ -77,13 +52,9 @@
   private List<ServerHealth> caches = List.of();
   private List<ServerHealth> origins = List.of();
   private double totalWeight;
-  private double largestShare = 1;
-  private double medianSaturation;
-  private boolean fewFail;
   private int inFlight;
   private int openInOtherProcess;
   private long lastSerial;
-  private double savedRetries = MAX_SAVED_RETRIES;
   private double closeAfterUseUntil = Double.NEGATIVE_INFINITY;
 
   /** Creates a balancer that has no list of servers yet. */
@@ -91,6 +62,7 @@
     this.settings = settings;
     this.actions = actions;
     this.random = new SplittableRandom(seed);
+    this.keyOwners = new KeyOwners(settings, random);
     this.slots = new SlotTable(settings.spread().points());
     this.feed = new MembershipFeed(settings, actions, random.split());
     for (Settings.ServiceClass service : settings.services()) {
@@ -162,7 +134,7 @@
     pendingById.put(request.id(), call);
     pendingBySerial.put(call.serial, call);
     if (request.key() != null) {
-      assignOwners(now, call);
+      keyOwners.assign(now, call, caches.size());
     }
     // Rule 1: the request is answered at its deadline at the latest.
     actions.setTimer(call.serial, Math.max(0, call.deadline - now));
@@ -185,28 +157,6 @@
     return listExpired(now) ? UnservedCause.LIST_EXPIRED : UnservedCause.NO_SERVER;
   }
 
-  /**
-   * Gives a hot key several owners, the first ones of its hash sequence. A key can outgrow one
-   * server while each balancer sees too few of its requests to reach a cap; its share of this
-   * balancer's requests approximates its share of all requests. If crossing zones has a price,
-   * writes and keys that this zone requests often go to owners in this zone.
-   */
-  private void assignOwners(double now, PendingRequest call) {
-    boolean write = call.request.write();
-    double estimate = write ? 0 : keyFrequencies.recordAndEstimate(now, call.keyHash);
-    double lowerBound = estimate - Math.sqrt(estimate); // Few requests are mostly noise.
-    double zones = Math.max(1, settings.zones().size());
-    double seenInZone = estimate + lowerBound * (Math.max(1, settings.instances() / zones) - 1);
-    boolean local =
-        settings.prices().crossZone() > 0
-            && (write || seenInZone * settings.prices().crossZone() >= MIN_ZONE_COPY_SAVING);
-    double share = lowerBound / Math.max(keyFrequencies.total, 50);
-    double servers = local ? caches.size() / zones : caches.size();
-    call.owners = (int) Math.max(1, Math.min(servers, Math.ceil(share * servers / HOT_KEY_PART)));
-    call.zoneJumps = local ? (int) (call.owners * zones * JUMPS_PER_ZONE_AND_OWNER) : 0;
-    call.firstOwner = call.owners > 1 ? random.nextInt(call.owners) * (local ? (int) zones : 1) : 0;
-  }
-
   /** Sends an attempt, or holds the request for a fetch; false if no server may receive it. */
   private boolean dispatch(double now, PendingRequest call) {
     ServerHealth target = chooseServer(now, call);
@@ -227,7 +177,7 @@
           }
           return patient;
         }
-        guard.recordStart(now, pairHash, call, isOutlier(now, target));
+        guard.recordStart(now, pairHash, call, fleetLoad.isOutlier(now, target));
       }
     }
     send(now, call, target);
@@ -250,11 +200,8 @@
   /** Recomputes, once a second, the rates and the figures of the fleet. */
   private void updateEachSecond(double now) {
     if (rates.isDue(now)) {
-      // Shares are relative: what saturates all servers alike moves no key.
-      largestShare = Math.max(0.02, quantile(server -> server.keyShare(now), 1));
-      medianSaturation = quantile(server -> server.saturation(now), 0.5);
-      guard.bestFailureRate = quantile(server -> server.fetchFailureRate, 0.25);
-      fewFail = 3 * caches.stream().filter(s -> s.consecutiveUnserved > 1).count() < caches.size();
+      fleetLoad.update(now, caches);
+      guard.bestFailureRate = fleetLoad.bestFailureRate();
       double weight = 0;
       for (ServerHealth server : caches) {
         weight += server.warmth(now) >= 1 && !server.isSuspect() ? weight(server) : 0;
@@ -293,7 +240,8 @@
         }
         continue;
       }
-      if (isColdAndFull(now, server) || !server.keepsKey(now, call.keyHash, largestShare)) {
+      if (isColdAndFull(now, server)
+          || !server.keepsKey(now, call.keyHash, fleetLoad.largestShare())) {
         continue;
       }
       int cap = LoadCap.cap(inFlight + 1, weight(server), totalWeight, settings);
@@ -370,6 +318,67 @@
     }
   }
 
+  /**
+   * Handles an attempt that waits for a reply that has begun and makes no progress: the rest may
+   * still come, or never. The request is sent to another server too. Where that is only allowed
+   * once the attempt has ended, the attempt is given up when enough of the time has passed.
+   *
+   * @param pausedSeconds for how long nothing of the reply has come
+   */
+  public void onReplyStalled(double now, String requestId, int attempt, double pausedSeconds) {
+    PendingRequest call = pendingById.get(requestId);
+    if (call == null || call.answered || call.streaming || !call.isInFlight(attempt)) {
+      return;
+    }
+    call.attempts.get(attempt).stalled = true;
+    if (attempt == call.fetchAttempt) {
+      // The origin has done its part: a spoilt reply must not hold up what waits for the fetch.
+      resumeAll(now, guard.recordEnd(now, call, false, false, false));
+    }
+    if (settings.limits().parallelAttempts()) {
+      sendBesideStalled(now, call);
+    } else if (mayRetry()) {
+      giveUpStalled(now, call, attempt, pausedSeconds);
+    }
+  }
+
+  private boolean mayRetry() {
+    return retries.available() && !guard.isFailing();
+  }
+
+  /** Sends a further attempt of a request whose attempts in flight have all stalled, if it may. */
+  private void sendBesideStalled(double now, PendingRequest call) {
+    boolean timeLeft = now < call.deadline - settings.tickSeconds();
+    if (!timeLeft || !call.onlyStalledInFlight() || !mayRetry()) {
+      return;
+    }
+    ServerHealth target = chooseServer(now, call);
+    if (target == null) {
+      return;
+    }
+    boolean fetches =
+        !call.request.write() && guard.expectsMiss(now, OriginGuard.pairHash(call, target));
+    if (!fetches || !guard.isFull(now)) {
+      retries.spend();
+      send(now, call, target);
+    }
+  }
+
+  private void giveUpStalled(double now, PendingRequest call, int attempt, double pausedSeconds) {
+    ServerHealth stalled = call.attempts.get(attempt).server;
+    boolean another =
+        caches.stream()
+            .anyMatch(
+                server ->
+                    server != stalled
+                        && !server.isSuspect()
+                        && call.maySendAfterCurrent(server, now, settings.limits()));
+    if (another && stalled.stallPatience.isExhausted(now, pausedSeconds, call.deadline - now)) {
+      stalled.stallPatience.recordGivenUp(now);
+      actions.giveUp(call.request.id(), attempt);
+    }
+  }
+
   /** Handles the end of an attempt. */
   public void onOutcome(double now, Outcome outcome) {
     PendingRequest call = pendingById.get(outcome.requestId());
@@ -381,9 +390,15 @@
     call.attempts.get(outcome.attempt()).connectionFault =
         outcome.result().isConnectionFailure() && server.answeredRecently(now);
     closeIfUnused(
-        now, server, server.recordEnd(now, outcome, settings.limits().idleTimeout(), fewFail));
-    if (outcome.result() == Outcome.Result.OK) {
-      savedRetries = Math.min(MAX_SAVED_RETRIES, savedRetries + RETRIES_PER_ANSWER);
+        now,
+        server,
+        server.recordEnd(now, outcome, settings.limits().idleTimeout(), fleetLoad.fewFail()));
+    if (outcome.result() == Outcome.Result.OK && call.attempts.get(outcome.attempt()).stalled) {
+      server.stallPatience.recordEnd();
+    }
+    // What a second attempt brings behind the answer is work done twice.
+    if (outcome.result() == Outcome.Result.OK && !call.answered) {
+      retries.earn();
       rates.countAnswer(server.warmth(now) >= 1);
     }
     // Before any retry, which would overwrite the ended fetch and leave its followers waiting.
@@ -392,6 +407,8 @@
       finish(call);
     } else if (call.inFlight == 0) {
       retryOrAnswer(now, call, outcome);
+    } else {
+      sendBesideStalled(now, call);
     }
   }
 
@@ -409,35 +426,9 @@
     }
   }
 
-  /**
-   * Updates the server's saturation. Fetch times are left out: they depend on the origin. The
-   * threshold follows the fleet's median: a slow origin delays hits at all servers, and must not
-   * move keys to caches that lack them.
-   */
-  private void recordLoad(double now, PendingRequest call, ServerHealth server, Outcome outcome) {
-    boolean fetch = outcome.attempt() == call.fetchAttempt || outcome.note().isMiss();
-    // A hung server has no hits to measure; while fetches succeed elsewhere, it is at fault.
-    boolean hungServer =
-        outcome.result() == Outcome.Result.TIMEOUT
-            && (!guard.isFailing() || isOutlier(now, server));
-    double limit = saturationThreshold();
-    if (outcome.load() != null && outcome.load().utilization() >= 0) {
-      server.addSample(now, outcome.load().utilization() / FULL_UTILIZATION, limit);
-    }
-    if (call.request.write() || fetch && !hungServer && outcome.note() != Outcome.Note.HIT) {
-      return;
-    }
-    if (outcome.result() == Outcome.Result.OK) {
-      server.addSample(now, outcome.elapsedSeconds() / (HIT_PART_OF_AIM * call.type.aim()), limit);
-    } else if (outcome.result() == Outcome.Result.TIMEOUT
-        || outcome.result() == Outcome.Result.FULL) {
-      server.addSample(now, 2, limit);
-    }
-  }
-
   /** Updates server and origin statistics, and resumes requests that were held for a fetch. */
   private void recordResult(double now, PendingRequest call, ServerHealth server, Outcome outcome) {
-    recordLoad(now, call, server, outcome);
+    fleetLoad.recordLoad(now, call, server, outcome, guard.isFailing());
     boolean ok = outcome.result() == Outcome.Result.OK;
     if (ok && !call.request.write()) {
       guard.recordAnswer(now, OriginGuard.pairHash(call, server), outcome.note());
@@ -452,32 +443,20 @@
       boolean counts = server.fetchFailureRate <= guard.bestFailureRate + ServerHealth.FETCH_WEIGHT;
       counts &= outcome.result() != Outcome.Result.FULL;
       server.recordFetch(inTime, failed);
-      List<PendingRequest> followers = guard.recordEnd(now, call, inTime, failed, counts);
-      for (PendingRequest follower : followers) {
-        if (follower.held && !follower.answered) {
-          resume(now, follower);
-        }
-      }
+      resumeAll(now, guard.recordEnd(now, call, inTime, failed, counts));
     }
     for (PendingRequest next = guard.nextParked(now); next != null; next = guard.nextParked(now)) {
       resume(now, next);
     }
   }
 
-  /** Returns this quantile of a figure over the ready servers; 0 if there are none. */
-  private double quantile(ToDoubleFunction<ServerHealth> figure, double quantile) {
-    double[] all = caches.stream().mapToDouble(figure).sorted().toArray();
-    return all.length == 0 ? 0 : all[(int) Math.min(all.length - 1, quantile * all.length)];
-  }
-
-  /** Returns whether a server does worse than the others, so that the fault is its own. */
-  private boolean isOutlier(double now, ServerHealth server) {
-    return server.saturation(now) > saturationThreshold()
-        || (fewFail && server.consecutiveUnserved >= ServerHealth.SUSPECT_AFTER_UNSERVED - 1);
-  }
-
-  private double saturationThreshold() {
-    return Math.max(1, 1.5 * medianSaturation);
+  /** Resumes the requests that waited for a fetch. */
+  private void resumeAll(double now, List<PendingRequest> followers) {
+    for (PendingRequest follower : followers) {
+      if (follower.held && !follower.answered) {
+        resume(now, follower);
+      }
+    }
   }
 
   private void resume(double now, PendingRequest call) {
@@ -505,9 +484,11 @@
         send(now, call, origin);
         return;
       }
-    } else if (costsNoToken || (savedRetries >= 1 && !guard.isFailing())) {
+    } else if (costsNoToken || mayRetry()) {
       // No retry while fetches fail: it would be one more fetch.
-      savedRetries -= costsNoToken ? 0 : 1;
+      if (!costsNoToken) {
+        retries.spend();
+      }
       if (dispatch(now, call)) {
         return;
       }
--- a/src/main/java/beamspread/policy/PendingRequest.java
+++ b/src/main/java/beamspread/policy/PendingRequest.java
@@ -19,6 +19,9 @@
     final double sentAt;
     private AttemptState state = AttemptState.IN_FLIGHT;
 
+    /** Whether its reply, or one before it on its connection, has begun and paused. */
+    boolean stalled;
+
     /** Whether it failed because of a connection, not because of its server. */
     boolean connectionFault;
 
@@ -91,6 +94,13 @@
         && attempts.get(attempt).state == AttemptState.IN_FLIGHT;
   }
 
+  /** Returns whether each attempt in flight, of one at least, waits for a reply that has paused. */
+  boolean onlyStalledInFlight() {
+    return inFlight > 0
+        && attempts.stream()
+            .allMatch(attempt -> attempt.state != AttemptState.IN_FLIGHT || attempt.stalled);
+  }
+
   /** Returns the number to hash the key with at this jump: its owners in turn, then onward. */
   int hashNumber(int jump) {
     if (jump < zoneJumps) {
@@ -118,7 +128,15 @@
    */
   boolean maySend(ServerHealth server, double now, Settings.Limits limits) {
     boolean attemptAllowed = inFlight == 0 || limits.parallelAttempts();
-    if (answered || streaming || attempts.size() >= limits.maxAttempts() || !attemptAllowed) {
+    return attemptAllowed && maySendAfterCurrent(server, now, limits);
+  }
+
+  /**
+   * Rule 2: returns whether another attempt may be sent to this server once none is in flight, even
+   * if those that are in flight now have run.
+   */
+  boolean maySendAfterCurrent(ServerHealth server, double now, Settings.Limits limits) {
+    if (answered || streaming || attempts.size() >= limits.maxAttempts()) {
       return false;
     }
     Attempt first = firstThatMayHaveRun();
--- a/src/main/java/beamspread/policy/ServerHealth.java
+++ b/src/main/java/beamspread/policy/ServerHealth.java
@@ -56,6 +56,9 @@
   private double nextTrialAt;
   private boolean trialInFlight;
 
+  /** How long a request waits for a reply of this server that pauses. */
+  final StallPatience stallPatience = new StallPatience();
+
   /** Share of its recent fetches that failed or were late. */
   double fetchFailureRate;
 
--- a/src/main/java/beamspread/pool/PooledConnection.java
+++ b/src/main/java/beamspread/pool/PooledConnection.java
@@ -28,6 +28,9 @@
   /** Whether an answer is being streamed in parts; nothing is written behind it. */
   boolean streaming;
 
+  /** Whether an answer has begun and makes no progress; nothing is written behind it. */
+  boolean stalled;
+
   boolean everAnswered;
 
   long openedAt;
@@ -60,7 +63,7 @@
 
   /** Returns whether an attempt may be written here now, given what is in flight. */
   boolean isWritable(int depth) {
-    return isUsable() && !reading && !streaming && inFlight < depth;
+    return isUsable() && !reading && !streaming && !stalled && inFlight < depth;
   }
 
   /** Returns whether nothing is in flight here. */
--- a/src/main/java/beamspread/pool/Pools.java
+++ b/src/main/java/beamspread/pool/Pools.java
@@ -186,6 +186,17 @@
     }
   }
 
+  /**
+   * Records that an answer on a connection has begun and makes no progress: nothing is written
+   * behind it until more data is received.
+   */
+  public void answerStalled(long connectionId) {
+    OwnedConnection<A> owned = connections.get(connectionId);
+    if (owned != null) {
+      owned.server().answerStalled(owned.connection());
+    }
+  }
+
   /**
    * Records the head of the answer to the oldest attempt in flight on a connection. The rest is
    * streamed in parts until {@link #attemptAnswered}; nothing more is written behind it.
--- a/src/main/java/beamspread/pool/ServerConnections.java
+++ b/src/main/java/beamspread/pool/ServerConnections.java
@@ -247,14 +247,19 @@
 
   /**
    * Counts the connections that may be written to, now or soon. Retiring ones do not count, nor do
-   * those with an overdue answer or an answer streamed at the pace of a slow client, so that they
-   * do not keep other attempts from the server.
+   * those with an overdue or stalled answer or an answer streamed at the pace of a slow client, so
+   * that they do not keep other attempts from the server.
    */
   private int countUsable(long now) {
     int count = 0;
     for (PooledConnection connection : connections.values()) {
       count +=
-          connection.isUsable() && !connection.streaming && !isSuspect(now, connection) ? 1 : 0;
+          connection.isUsable()
+                  && !connection.streaming
+                  && !connection.stalled
+                  && !isSuspect(now, connection)
+              ? 1
+              : 0;
     }
     return count;
   }
@@ -404,9 +409,15 @@
   /** Records received data; more may follow before {@link #readCompleted}. */
   void dataReceived(long now, PooledConnection connection) {
     connection.reading = true;
+    connection.stalled = false;
     connection.lastReadAt = now;
   }
 
+  /** Records that an answer on a connection has begun and makes no progress. */
+  void answerStalled(PooledConnection connection) {
+    connection.stalled = true;
+  }
+
   /** Records the head of the answer to the oldest attempt on a connection. */
   void streamingStarted(long now, PooledConnection connection, long writtenAt) {
     connection.streaming = true;
--- a/src/test/java/beamspread/policy/RuleChecker.java
+++ b/src/test/java/beamspread/policy/RuleChecker.java
@@ -72,6 +72,29 @@
     }
   }
 
+  /** An attempt that the balancer has given up. */
+  record GivenUp(String requestId, int attempt) {}
+
+  private final List<GivenUp> givenUp = new ArrayList<>();
+
+  @Override
+  public void giveUp(String requestId, int attempt) {
+    givenUp.add(new GivenUp(requestId, attempt));
+  }
+
+  /** Returns the attempts that were given up since the last call. */
+  List<GivenUp> takeGivenUp() {
+    List<GivenUp> taken = List.copyOf(givenUp);
+    givenUp.clear();
+    return taken;
+  }
+
+  /** Records the end of an attempt that was given up, and returns it. */
+  Attempt recordEnd(GivenUp ended, Outcome.Result result) {
+    recordEnd(ended.requestId(), ended.attempt(), result);
+    return requests.get(ended.requestId()).attempts.get(ended.attempt());
+  }
+
   void recordClientGone(String id) {
     requests.get(id).ended = true;
   }
