The head of a large value is passed on before its request's deadline

Cause: the decoder holds the head until 4 KiB have come, so that a spoilt reply can still be replaced, and the attempt timed out meanwhile. The head goes on when the attempt times out: until then another server may answer, afterwards there is nothing better.

LargeValuesTest.passesOnTheHeadOfAValueBeforeTheDeadline and passesOnTheFirstBytesOfAValueBeforeTheDeadline: both failed before ('SERVER_ERROR busy'), both pass; LargeValuesTest passes.

--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -547,6 +547,9 @@
    */
   private void onAttemptTimeout(RequestAttempt attempt) {
     pools.readNow(attempt);
+    if (!attempt.isSettled() && !attempt.request.ended) {
+      pools.passHeldHead(attempt);
+    }
     abandon(attempt, Outcome.Result.TIMEOUT);
   }
 
--- a/src/main/java/beamspread/node/server/ServerConnection.java
+++ b/src/main/java/beamspread/node/server/ServerConnection.java
@@ -436,6 +436,18 @@
     return !closed && !protocolError && stall.exceeds(now, minStallNanos);
   }
 
+  /**
+   * Begins the answer to an attempt with the head of its large value, if that is all that has come:
+   * the first bytes of a large value have to be in time, not the last. Only from a task of the
+   * event loop.
+   */
+  void passHeldHead(Attempt attempt) throws Exception {
+    boolean itsHead = attempt.command().request.id().equals(decoder.heldHeadId());
+    if (!closed && !protocolError && itsHead && hasInFlight(attempt)) {
+      decoder.passHeldHead(channel.pipeline().context(decoder));
+    }
+  }
+
   /** Reads the socket now; only from a task of the event loop. */
   void readNow() {
     SocketPolling.readNow(channel);
--- a/src/main/java/beamspread/node/server/ServerPools.java
+++ b/src/main/java/beamspread/node/server/ServerPools.java
@@ -116,6 +116,20 @@
     }
   }
 
+  /**
+   * Begins the answer to an attempt with the head of a large value if that is all that has come.
+   */
+  public void passHeldHead(Attempt attempt) {
+    if (attempt.connection == null) {
+      return;
+    }
+    try {
+      attempt.connection.passHeldHead(attempt);
+    } catch (Exception e) {
+      listener.report("head of a large value", e);
+    }
+  }
+
   /**
    * Stops waiting for an attempt.
    *
--- a/src/main/java/beamspread/node/wire/MetaReply.java
+++ b/src/main/java/beamspread/node/wire/MetaReply.java
@@ -106,6 +106,26 @@
       super.channelRead(ctx, message);
     }
 
+    /**
+     * Returns the request id of a large value whose head is held until more of it arrives; null if
+     * there is none.
+     */
+    public String heldHeadId() {
+      return head != null && head.followingBytes > 0 ? head.id : null;
+    }
+
+    /** Passes on the held head, and what has arrived behind it. */
+    public void passHeldHead(ChannelHandlerContext ctx) throws Exception {
+      MetaReply passed = head;
+      head = null;
+      remainingBytes = passed.followingBytes;
+      ctx.fireChannelRead(passed);
+      if (actualReadableBytes() > 0) {
+        super.channelRead(ctx, Unpooled.EMPTY_BUFFER);
+      }
+      ctx.fireChannelReadComplete();
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
       if (framingLost) {
--- a/src/test/java/beamspread/node/LargeValuesTest.java
+++ b/src/test/java/beamspread/node/LargeValuesTest.java
@@ -98,6 +98,35 @@
     }
   }
 
+  /** Of a large value the first bytes have to be in time. */
+  @Test
+  void passesOnTheHeadOfAValueBeforeTheDeadline() throws Exception {
+    try (Peers.Server server = new Peers.Server(LargeValuesTest::head);
+        Peers.Rig rig = new Peers.Rig(DEFAULT_LIMITS, server);
+        Peers.Client client = rig.client()) {
+      client.send("mg key-L v OL Pc=read,d=300\r\n");
+      assertThat(client.readLine()).startsWith("VA ");
+      server.send(server.lines.get(0), VALUE + "\r\n");
+      assertBytes(client, VALUE);
+      assertThat(client.readLine()).isEmpty();
+      assertThat(server.lines).hasSize(1);
+    }
+  }
+
+  @Test
+  void passesOnTheFirstBytesOfAValueBeforeTheDeadline() throws Exception {
+    try (Peers.Server server = new Peers.Server(line -> partialAnswer(line, 100));
+        Peers.Rig rig = new Peers.Rig(DEFAULT_LIMITS, server);
+        Peers.Client client = rig.client()) {
+      client.send("mg key-L v OL Pc=read,d=300\r\n");
+      assertThat(client.readLine()).startsWith("VA ");
+      assertBytes(client, VALUE.substring(0, 100));
+      server.send(server.lines.get(0), VALUE.substring(100) + "\r\n");
+      assertBytes(client, VALUE.substring(100));
+      assertThat(client.readLine()).isEmpty();
+    }
+  }
+
   @Test
   void boundsBufferedBytesWhileNoClientReads() throws Exception {
     try (Peers.Server server = new Peers.Server(LargeValuesTest::answer);
