No relayed value ends before its request's deadline for want of progress

Change: before the request's deadline neither a silent server nor a slow client ends a relay. After it, a silence of the settings' idle time does, within 3 to 10 s, on either side; a client below the pace is cut only while the memory of relayed values is scarce.

--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -419,6 +419,7 @@
               head,
               source,
               request.slot,
+              request.deadlineNanos - System.nanoTime(),
               whole ->
                   metrics.replied(
                       className,
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -139,7 +139,9 @@
    * together stay within an eighth of the node's memory.
    */
   private static RelaySettings relaySettings(NodeConfig config) {
-    return RelaySettings.defaults(Math.max(1 << 20, (long) config.memoryMb() << 16));
+    return RelaySettings.defaults(
+        Math.max(1 << 20, (long) config.memoryMb() << 16),
+        (long) (config.settings().limits().idleTimeout() * 1e9));
   }
 
   /** Returns the bound on undecoded input: small parts of the node's and of the direct memory. */
--- a/src/main/java/beamspread/node/relay/ValueRelays.java
+++ b/src/main/java/beamspread/node/relay/ValueRelays.java
@@ -41,6 +41,7 @@
   /**
    * Begins to relay a value whose first line has been received.
    *
+   * @param remainingNanos how long the client still waits in any case
    * @return the sink for the parts of the value; if the client has disconnected, it discards them
    *     and the listener is called at once
    */
@@ -48,9 +49,11 @@
       MetaReply head,
       ValueSource source,
       ClientHandler.AnswerSlot slot,
+      long remainingNanos,
       CompletionListener listener) {
     ValueTransfer transfer = new ValueTransfer(source, slot, listener);
-    transfer.relay = relays.begin(clock.getAsLong(), head.followingBytes(), transfer);
+    long now = clock.getAsLong();
+    transfer.relay = relays.begin(now, head.followingBytes(), now + remainingNanos, transfer);
     activeCount++;
     ByteBuf line = slot.allocator().buffer(head.id().length() + 24);
     ByteBufUtil.writeAscii(line, "VA " + head.followingBytes() + " O" + head.id());
--- a/src/main/java/beamspread/relay/Relay.java
+++ b/src/main/java/beamspread/relay/Relay.java
@@ -31,6 +31,9 @@
   /** Whether all earlier answers are with the client, so that this value is being written. */
   private boolean clientReady;
 
+  /** Until when the request's client waits in any case. */
+  private final long deadline;
+
   private long lastReceivedAt;
 
   /** Start of the current pace window, and bytes read by the client within it. */
@@ -38,11 +41,15 @@
 
   private long paceWindowBytes;
 
-  Relay(Relays relays, RelayActions actions, long now, long length) {
+  /** When the client last read something, or could have begun to. */
+  private long lastDeliveredAt;
+
+  Relay(Relays relays, RelayActions actions, long now, long length, long deadline) {
     this.relays = relays;
     this.actions = actions;
     this.remainingBytes = length;
     this.lastReceivedAt = now;
+    this.deadline = deadline;
   }
 
   int heldBytes() {
@@ -62,6 +69,7 @@
     }
     if (heldBytes == 0) {
       restartPaceWindow(now);
+      lastDeliveredAt = now;
     }
     heldBytes += bytes;
     relays.heldBytes(bytes);
@@ -106,6 +114,7 @@
   public void clientReady(long now) {
     clientReady = true;
     restartPaceWindow(now);
+    lastDeliveredAt = now;
   }
 
   /** Records that the client has read this many bytes. */
@@ -115,6 +124,7 @@
     }
     heldBytes -= bytes;
     paceWindowBytes += bytes;
+    lastDeliveredAt = now;
     if (paceWindowBytes >= relays.settings().minPaceBytes()) {
       restartPaceWindow(now);
     }
@@ -155,26 +165,40 @@
     relays.released(now, this, releasedBytes);
   }
 
-  /** Checks the time limits of the server and the client. */
+  /** Checks the time limits of the server and the client; none ends before the deadline. */
   void tick(long now) {
-    RelaySettings settings = relays.settings();
-    boolean awaitsServer = phase == Phase.RELAYING || phase == Phase.DISCARDING;
-    if (awaitsServer
-        && !relays.isPaused(this)
-        && now - lastReceivedAt > settings.maxSilenceNanos()) {
+    if (isServerSilent(now)) {
       actions.closeServerConnection();
       aborted();
     }
-    if (phase != Phase.ENDED
-        && phase != Phase.DISCARDING
-        && clientReady
-        && heldBytes > 0
-        && now - paceWindowStart > settings.paceWindowNanos()) {
+    boolean awaitsClient = phase == Phase.RELAYING || phase == Phase.COMPLETE;
+    awaitsClient |= phase == Phase.ABORTED;
+    if (awaitsClient && clientReady && heldBytes > 0 && isClientTooSlow(now)) {
       endForSlowClient(now);
     }
   }
 
-  /** Ends the relay for a client that reads too slowly and thereby occupies a server connection. */
+  private boolean isServerSilent(long now) {
+    boolean overdue = phase == Phase.RELAYING && now - deadline > 0;
+    return (overdue || phase == Phase.DISCARDING)
+        && !relays.isPaused(this)
+        && now - lastReceivedAt > relays.settings().maxSilenceNanos();
+  }
+
+  /**
+   * Returns whether the client reads nothing for too long or, where the memory that it occupies is
+   * wanted, too little.
+   */
+  private boolean isClientTooSlow(long now) {
+    RelaySettings settings = relays.settings();
+    if (now - deadline <= 0) {
+      return false;
+    }
+    return now - lastDeliveredAt > settings.maxSilenceNanos()
+        || (relays.isMemoryScarce() && now - paceWindowStart > settings.paceWindowNanos());
+  }
+
+  /** Ends the relay for a client that reads too slowly. */
   private void endForSlowClient(long now) {
     relays.recordSlowClient();
     actions.cutClient();
--- a/src/main/java/beamspread/relay/RelaySettings.java
+++ b/src/main/java/beamspread/relay/RelaySettings.java
@@ -11,8 +11,10 @@
  * @param maxHeldTotal the same over all values; above it only values of which nothing is held are
  *     read
  * @param minPaceBytes how much of the held bytes a client must read within {@code paceWindowNanos}
+ *     while too little of {@code maxHeldTotal} is left for one more value
  * @param paceWindowNanos length of the window for {@code minPaceBytes}
- * @param maxSilenceNanos how long a cache server may send nothing in the middle of a value
+ * @param maxSilenceNanos how long, beyond the request's deadline, a cache server may send nothing
+ *     in the middle of a value, or a client read nothing of it
  * @param maxDiscardBytes how much of an unwanted value is still read to keep its connection
  */
 public record RelaySettings(
@@ -23,10 +25,22 @@
     long maxSilenceNanos,
     int maxDiscardBytes) {
 
-  /** Returns the defaults of a node that may use this many bytes for it. */
-  public static RelaySettings defaults(long maxHeldTotal) {
+  /** The bounds of {@code maxSilenceNanos} by default. */
+  private static final long MIN_SILENCE_NANOS = 3_000_000_000L;
+
+  private static final long MAX_SILENCE_NANOS = 10_000_000_000L;
+
+  /**
+   * Returns the defaults of a node.
+   *
+   * @param maxHeldTotal how many bytes it may use for this
+   * @param idleTimeoutNanos how long a connection may be idle by the settings of the deployment
+   */
+  public static RelaySettings defaults(long maxHeldTotal, long idleTimeoutNanos) {
+    long maxSilenceNanos =
+        Math.max(MIN_SILENCE_NANOS, Math.min(MAX_SILENCE_NANOS, idleTimeoutNanos));
     return new RelaySettings(
-        1 << 19, maxHeldTotal, 1 << 15, 3_000_000_000L, 3_000_000_000L, 1 << 18);
+        1 << 19, maxHeldTotal, 1 << 15, 3_000_000_000L, maxSilenceNanos, 1 << 18);
   }
 
   /** Returns all invalid settings, as messages for operators; empty if all are valid. */
--- a/src/main/java/beamspread/relay/Relays.java
+++ b/src/main/java/beamspread/relay/Relays.java
@@ -35,9 +35,10 @@
    * Starts to relay a value whose head was received.
    *
    * @param length length of the value in bytes
+   * @param deadline until when the client waits in any case
    */
-  public Relay begin(long now, long length, RelayActions actions) {
-    Relay relay = new Relay(this, actions, now, length);
+  public Relay begin(long now, long length, long deadline, RelayActions actions) {
+    Relay relay = new Relay(this, actions, now, length, deadline);
     openRelays.add(relay);
     return relay;
   }
@@ -93,6 +94,11 @@
     return full && paused.add(relay);
   }
 
+  /** Returns whether too little memory is left for one more value. */
+  boolean isMemoryScarce() {
+    return heldBytes + settings.maxHeldPerValue() > settings.maxHeldTotal();
+  }
+
   boolean isPaused(Relay relay) {
     return paused.contains(relay);
   }
