One client connection takes at most 4 KiB and 64 commands of a turn of the event loop

Cause: a turn of the loop read up to 16 buffers of 16 KiB of one socket, and each of the 65,536 commands in them was answered by a write to the socket of its own.

Change: one buffer of up to 4 KiB is read of a client's socket in a turn, and at most 64 commands are handled; the rest waits, undecoded, for the next turn. What was answered while a read was handled is written once, at its end. Places that have to empty a socket before a decision now read it until it is empty, up to 64 buffers as before in bytes.

--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -88,6 +88,12 @@
   /** The direct memory of the process is this many times what undecoded input may take. */
   private static final long INPUT_PART_OF_DIRECT_MEMORY = 8;
 
+  /** Size of the buffer for a read of a client's socket; it follows what the client sends. */
+  private static final int MIN_CLIENT_READ_BYTES = 512;
+
+  private static final int INITIAL_CLIENT_READ_BYTES = 2048;
+  private static final int MAX_CLIENT_READ_BYTES = 4096;
+
   /** Exit code of a process whose event loop has ended by an error. */
   private static final int EXIT_LOOP_ENDED = 70;
 
@@ -213,6 +219,18 @@
     }
   }
 
+  /**
+   * Returns how much is read of one client's socket in one turn of the event loop: one buffer, so
+   * that a client that sends at full speed leaves the others their turns.
+   */
+  private static AdaptiveRecvByteBufAllocator clientReads() {
+    AdaptiveRecvByteBufAllocator reads =
+        new AdaptiveRecvByteBufAllocator(
+            MIN_CLIENT_READ_BYTES, INITIAL_CLIENT_READ_BYTES, MAX_CLIENT_READ_BYTES);
+    reads.maxMessagesPerRead(1);
+    return reads;
+  }
+
   /** Opens the status socket if the configuration names one. */
   private void openStatusSocket() throws IOException, InterruptedException {
     if (config.statusSocket() != null) {
@@ -343,8 +361,7 @@
                 : transport.sharedClientListener(acceptGate))
             .group(loop)
             .childOption(ChannelOption.ALLOCATOR, allocator)
-            .childOption(
-                ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 2048, 16384))
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, clientReads())
             .childHandler(
                 new ChannelInitializer<>() {
                   @Override
--- a/src/main/java/beamspread/node/client/ClientHandler.java
+++ b/src/main/java/beamspread/node/client/ClientHandler.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.DuplexChannel;
 import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Handles one client connection: accepts its commands and writes the answers in the same order. An
@@ -29,6 +30,9 @@
   /** Pending answers of one connection at which no more commands are decoded. */
   private static final int MAX_PENDING_ANSWERS = 256;
 
+  /** Commands of one connection that are handled in one turn of the event loop. */
+  private static final int MAX_COMMANDS_PER_TURN = 64;
+
   /** Undecoded bytes behind that many commands above which the client is rejected. */
   private static final int MAX_HELD_BYTES = 1 << 16;
 
@@ -41,8 +45,8 @@
   /** Answer to a client for which there is no room. */
   private static final String BUSY_LINE = "SERVER_ERROR busy\r\n";
 
-  /** Maximum reads of a socket to find a close behind the data. */
-  private static final int MAX_READS_PER_CHECK = 8;
+  /** Maximum reads of a socket to empty it, or to find a close behind the data. */
+  private static final int MAX_READS_PER_CHECK = 64;
 
   /** Time within which a command that was received in part has to be complete, in a drain. */
   private static final long DRAIN_COMMAND_TIMEOUT_NANOS = 300_000_000L;
@@ -102,6 +106,14 @@
   /** Whether a command was received since {@link #isQuietAfterRead()} began. */
   private boolean commandReceived;
 
+  /** The turn of the event loop in which commands were last received, and how many were. */
+  private long commandTurn;
+
+  private int commandsInTurn;
+
+  /** Whether decoding resumes in the next turn of the event loop. */
+  private boolean resumeScheduled;
+
   /** Whether the connection closes once all answers are written, unless a command arrives. */
   private boolean closeScheduled;
 
@@ -300,7 +312,10 @@
         startLingering();
       }
     }
-    channel.flush();
+    if (!reading) {
+      // Otherwise once for all commands of this read.
+      channel.flush();
+    }
     updateAutoRead();
     markUnused();
   }
@@ -331,7 +346,7 @@
    */
   boolean isQuietAfterRead() {
     commandReceived = false;
-    SocketPolling.readNow(channel);
+    readAvailable();
     return !commandReceived && isQuiet();
   }
 
@@ -358,18 +373,25 @@
   private boolean detectDisconnect() {
     long nanosSinceRead = System.nanoTime() - lastReadNanos;
     if (!reading && nanosSinceRead > RECENT_READ_NANOS) {
-      // Each read returns at least one piece of data, and the close follows the last.
-      long piecesBefore = -1;
-      for (int i = 0;
-          i < MAX_READS_PER_CHECK && decoder.readCount() > piecesBefore && canRead();
-          i++) {
-        piecesBefore = decoder.readCount();
-        SocketPolling.readNow(channel);
-      }
+      readAvailable();
     }
     return !channel.isActive();
   }
 
+  /**
+   * Reads the socket until it is empty, or until a bound. Each read returns at least one piece of
+   * data, and a close follows the last.
+   */
+  private void readAvailable() {
+    long piecesBefore = -1;
+    for (int i = 0;
+        i < MAX_READS_PER_CHECK && decoder.readCount() > piecesBefore && canRead();
+        i++) {
+      piecesBefore = decoder.readCount();
+      SocketPolling.readNow(channel);
+    }
+  }
+
   /**
    * Shuts down the output after the last answer and leaves the client time to read it: closing
    * while the client still sends would reset the connection, and the client could lose the error
@@ -397,17 +419,53 @@
             });
   }
 
+  private boolean hasTooManyPending() {
+    return !closing && answerSlots.size() >= MAX_PENDING_ANSWERS;
+  }
+
+  private boolean hasUsedUpTurn() {
+    return !closing
+        && commandsInTurn >= MAX_COMMANDS_PER_TURN
+        && commandTurn == connections.loopTurn();
+  }
+
+  private void countCommand() {
+    long turn = connections.loopTurn();
+    commandsInTurn = commandTurn == turn ? commandsInTurn + 1 : 1;
+    commandTurn = turn;
+  }
+
+  private void resumeInNextTurn() {
+    if (!resumeScheduled) {
+      resumeScheduled = true;
+      // Timers that are set now run in the next turn at the earliest.
+      channel
+          .eventLoop()
+          .schedule(
+              () -> {
+                resumeScheduled = false;
+                updateAutoRead();
+              },
+              0,
+              TimeUnit.NANOSECONDS);
+    }
+  }
+
   /**
-   * Turns reading on or off: the decoder holds commands while too many answers are pending, and the
-   * socket is not read while the client does not read its answers. A close that happens meanwhile
-   * is found by the periodic check or by a failing write, so that a queued request is not sent long
-   * after its client has left.
+   * Turns reading on or off: the decoder holds commands while too many answers are pending and when
+   * the connection has had its turn of the event loop, and the socket is not read while the client
+   * does not read its answers. A close that happens meanwhile is found by the periodic check or by
+   * a failing write, so that a queued request is not sent long after its client has left.
    */
   private void updateAutoRead() {
-    boolean tooManyPending = !closing && answerSlots.size() >= MAX_PENDING_ANSWERS;
+    boolean usedUpTurn = hasUsedUpTurn();
+    boolean holds = usedUpTurn || hasTooManyPending();
+    if (usedUpTurn) {
+      resumeInNextTurn();
+    }
     boolean canTakeMore = closing ? decoder.mayDiscard() : channel.isWritable();
-    channel.config().setAutoRead(canTakeMore && !tooManyPending);
-    if (decoder.setHolding(tooManyPending) && !tooManyPending) {
+    channel.config().setAutoRead(canTakeMore && !holds);
+    if (decoder.setHolding(holds) && !holds) {
       // Runs as a separate task, since the caller may be the decoder.
       channel
           .eventLoop()
@@ -421,7 +479,10 @@
 
   /** Checks whether the client has closed the connection while automatic reading is off. */
   private void detectCloseWhilePaused() {
-    if (channel.config().isAutoRead() || (!closing && !channel.isWritable())) {
+    if (channel.config().isAutoRead() || (!closing && !hasTooManyPending())) {
+      return;
+    }
+    if (!closing && !channel.isWritable()) {
       return;
     }
     // Each read returns one piece of data only, and the close follows the last.
@@ -466,7 +527,8 @@
     connections.markBusy(this);
     AnswerSlot slot = new AnswerSlot();
     answerSlots.add(slot);
-    if (answerSlots.size() >= MAX_PENDING_ANSWERS) {
+    countCommand();
+    if (hasTooManyPending() || hasUsedUpTurn()) {
       updateAutoRead();
     }
     if (command.immediateReply == null
@@ -526,7 +588,10 @@
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
     reading = false;
-    lastReadNanos = System.nanoTime();
+    channel.flush();
+    if (!decoder.mayHaveMore()) {
+      lastReadNanos = System.nanoTime();
+    }
     if (decoder.isIncomplete() && decoder.heldBytes() == 0) {
       partialSinceNanos = partialSinceNanos == 0 ? System.nanoTime() : partialSinceNanos;
       connections.markBusy(this);
@@ -646,7 +711,7 @@
   void closeLingering() {
     // Closing a socket with unread data resets the connection, and the client could lose the error
     // line.
-    SocketPolling.readNow(channel);
+    readAvailable();
     channel.close();
   }
 
@@ -745,7 +810,7 @@
   /** Rejects the client if its command is still incomplete after a read of the socket. */
   private void rejectIfStillPartial() {
     long partialSinceBefore = partialSinceNanos;
-    SocketPolling.readNow(channel);
+    readAvailable();
     if (partialSinceNanos == partialSinceBefore && decoder.isIncomplete() && channel.isActive()) {
       rejectAndClose("CLIENT_ERROR command not finished");
     }
--- a/src/main/java/beamspread/node/wire/MetaCommand.java
+++ b/src/main/java/beamspread/node/wire/MetaCommand.java
@@ -137,6 +137,9 @@
     private boolean holding;
     private long readCount;
 
+    /** Whether the last read filled its buffer, so that the socket may hold more. */
+    private boolean mayHaveMore;
+
     /** Whether a read is being decoded now. */
     private boolean decoding;
 
@@ -158,9 +161,15 @@
       return readCount;
     }
 
+    /** Returns whether the socket may have held more than the last read has taken. */
+    public boolean mayHaveMore() {
+      return mayHaveMore;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object bytes) throws Exception {
       readCount++;
+      mayHaveMore = bytes instanceof ByteBuf buffer && buffer.isReadable() && !buffer.isWritable();
       boolean outermost = !decoding;
       decoding = true;
       try {
