A client that sent too much begins no attempt any more once that is known

Cause: behind 256 pending answers the node holds at most 64 KiB.

Change: the look before an attempt rejects such a client at once. With a rejection because of the amount of input, requests that no server can have run are refused, and the others wait for the attempts they have and get no further ones.

A client that stays is answered up to its rejection.

--- a/src/main/java/beamspread/node/OpenRequest.java
+++ b/src/main/java/beamspread/node/OpenRequest.java
@@ -39,6 +39,12 @@
     return (System.nanoTime() - receivedNanos) / 1e9;
   }
 
+  /** Returns whether a server may have run it: an attempt was assigned to a connection. */
+  boolean mayHaveRun() {
+    return attempts.stream()
+        .anyMatch(attempt -> attempt.hasConnection() && attempt.mayHaveExecuted);
+  }
+
   String id() {
     return command.request.id();
   }
--- a/src/main/java/beamspread/node/RequestIntake.java
+++ b/src/main/java/beamspread/node/RequestIntake.java
@@ -108,6 +108,7 @@
     private final long earliestSentAt;
     private AcceptedRequest accepted;
     private boolean clientGone;
+    private boolean refuseOnBegin;
 
     DeferredRequest(MetaCommand command, ClientHandler.AnswerSlot slot, long earliestSentAt) {
       this.command = command;
@@ -120,6 +121,8 @@
       if (clientGone) {
         command.release();
         metrics.clientDisconnected();
+      } else if (refuseOnBegin) {
+        refuse(command, slot);
       } else {
         accepted = begin(command, slot, earliestSentAt, System.nanoTime());
       }
@@ -132,6 +135,15 @@
         accepted.clientGone();
       }
     }
+
+    @Override
+    public void clientRejected() {
+      if (accepted != null) {
+        accepted.clientRejected();
+      } else {
+        refuseOnBegin = true;
+      }
+    }
   }
 
   /**
@@ -152,9 +164,7 @@
         now - earliestSentAt >= EventLoopMonitor.PAUSE_NANOS
             && waitNanos <= MIN_WAIT_AFTER_STALL_NANOS;
     if (tooOld || !concurrencyLimit.admits(now, openRequests.unanswered())) {
-      metrics.refusedEarly(command.request);
-      command.release();
-      slot.answerLine(BUSY_ANSWER);
+      refuse(command, slot);
       return null;
     }
     waitNanos -= deadlineReserve.reserveNanos(now, waitNanos);
@@ -166,6 +176,13 @@
     return begin(request, waitNanos);
   }
 
+  /** Refuses a request before it begins. */
+  private void refuse(MetaCommand command, ClientHandler.AnswerSlot slot) {
+    metrics.refusedEarly(command.request);
+    command.release();
+    slot.answerLine(BUSY_ANSWER);
+  }
+
   /**
    * Returns the nanoseconds until the client's deadline, at most the longest deadline of the
    * settings.
@@ -186,7 +203,17 @@
     openRequests.add(request);
     metrics.received(received);
     events.post(at -> passToModule(at, request, adjusted));
-    return () -> clientGone(request);
+    return new AcceptedRequest() {
+      @Override
+      public void clientGone() {
+        RequestIntake.this.clientGone(request);
+      }
+
+      @Override
+      public void clientRejected() {
+        RequestIntake.this.clientRejected(request);
+      }
+    };
   }
 
   private void passToModule(double now, OpenRequest request, Request adjusted) {
@@ -215,6 +242,29 @@
         });
   }
 
+  /**
+   * Refuses a request of a rejected client if no attempt of it can have run; otherwise it waits for
+   * its attempts, and gets no others.
+   */
+  private void clientRejected(OpenRequest request) {
+    if (request.ended) {
+      return;
+    }
+    if (request.mayHaveRun()) {
+      events.post(now -> balancer.onNoFurtherAttempts(request.id()));
+      return;
+    }
+    openRequests.answer(request, RequestCounters.Ending.OVERLOAD, BUSY_ANSWER);
+    events.post(
+        now -> {
+          try {
+            balancer.onClientGone(now, request.id());
+          } finally {
+            openRequests.removeIfComplete(request);
+          }
+        });
+  }
+
   @Override
   public void requestRefused(String serviceClass) {
     metrics.replied(serviceClass, RequestCounters.Ending.OVERLOAD);
--- a/src/main/java/beamspread/node/client/ClientHandler.java
+++ b/src/main/java/beamspread/node/client/ClientHandler.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.DuplexChannel;
 import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -374,6 +375,7 @@
     long nanosSinceRead = System.nanoTime() - lastReadNanos;
     if (!reading && nanosSinceRead > RECENT_READ_NANOS) {
       readAvailable();
+      rejectIfTooMuchHeld();
     }
     return !channel.isActive();
   }
@@ -493,9 +495,29 @@
         break;
       }
     }
-    if (channel.isActive() && !closing && decoder.heldBytes() > MAX_HELD_BYTES) {
-      // To find a close behind even more data, all of that data would have to be held.
-      rejectAndClose(TOO_MANY_COMMANDS);
+    rejectIfTooMuchHeld();
+  }
+
+  /**
+   * Rejects a client of which so much is held that its close can't be found: the close may lie
+   * behind even more data, all of which would have to be held too.
+   */
+  private void rejectIfTooMuchHeld() {
+    if (channel.isActive() && hasTooManyPending() && decoder.heldBytes() > MAX_HELD_BYTES) {
+      rejectForInput();
+    }
+  }
+
+  /**
+   * Rejects the client because of the amount of its input. Its close may never be read, so none of
+   * its requests begins an attempt any more.
+   */
+  private void rejectForInput() {
+    rejectAndClose(TOO_MANY_COMMANDS);
+    for (AnswerSlot slot : List.copyOf(answerSlots)) {
+      if (slot.request != null) {
+        slot.request.clientRejected();
+      }
     }
   }
 
@@ -571,7 +593,7 @@
 
   /** Rejects the client and drops its input, because of the memory that the input takes. */
   void turnAway() {
-    rejectAndClose(TOO_MANY_COMMANDS);
+    rejectForInput();
     if (!decoder.isDecoding()) {
       channel.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
     }
--- a/src/main/java/beamspread/node/client/RequestHandler.java
+++ b/src/main/java/beamspread/node/client/RequestHandler.java
@@ -8,6 +8,12 @@
   interface AcceptedRequest {
     /** Called when the client has closed its connection. */
     void clientGone();
+
+    /**
+     * Called when the client is rejected, so that the request gets no further attempt; it is still
+     * owed an answer.
+     */
+    void clientRejected();
   }
 
   /**
--- a/src/main/java/beamspread/policy/Balancer.java
+++ b/src/main/java/beamspread/policy/Balancer.java
@@ -514,6 +514,14 @@
     finish(call);
   }
 
+  /** Handles that a request may get no further attempt, though it is still owed its answer. */
+  public void onNoFurtherAttempts(String requestId) {
+    PendingRequest call = pendingById.get(requestId);
+    if (call != null) {
+      call.noFurtherAttempts = true;
+    }
+  }
+
   /** Handles a timer that was set earlier. */
   public void onTimer(double now, long token) {
     if (token == FEED_TIMER_TOKEN) {
--- a/src/main/java/beamspread/policy/PendingRequest.java
+++ b/src/main/java/beamspread/policy/PendingRequest.java
@@ -51,6 +51,9 @@
   boolean answered;
   boolean streaming;
 
+  /** Whether it must get no further attempt. */
+  boolean noFurtherAttempts;
+
   /** Whether it is held until a fetch ends. */
   boolean held;
 
@@ -136,7 +139,7 @@
    * if those that are in flight now have run.
    */
   boolean maySendAfterCurrent(ServerHealth server, double now, Settings.Limits limits) {
-    if (answered || streaming || attempts.size() >= limits.maxAttempts()) {
+    if (answered || streaming || noFurtherAttempts || attempts.size() >= limits.maxAttempts()) {
       return false;
     }
     Attempt first = firstThatMayHaveRun();
--- a/src/test/java/beamspread/policy/StalledReplyDecisionTest.java
+++ b/src/test/java/beamspread/policy/StalledReplyDecisionTest.java
@@ -65,6 +65,19 @@
     assertThat(actions.ofKind("fail")).isEmpty();
   }
 
+  @Test
+  void noServerIsAskedOnceFurtherAttemptsAreForbidden() {
+    Balancer balancer = balancer(true);
+    balancer.onRequest(100, BalancerFixtures.request("r", "k", "safe", WAIT_SECONDS));
+    balancer.onNoFurtherAttempts("r");
+    balancer.onReplyStalled(100.4, "r", 0, STALL_SECONDS);
+    assertThat(sentTo()).hasSize(1);
+    balancer.onOutcome(
+        100.5, BalancerFixtures.outcome("r", 0, sentTo().get(0), Outcome.Result.RESET));
+    assertThat(sentTo()).hasSize(1);
+    assertThat(actions.ofKind("refuse")).hasSize(1);
+  }
+
   @Test
   void anUnsafeRequestWaitsForItsOnlyAttempt() {
     for (boolean parallelAttempts : new boolean[] {true, false}) {
