Unread answers have a bound in sum, and all values together take less memory

Cause: bounds each and none in sum: answers of up to 64 KiB that wait for slow readers, up to 32 a client; a buffer of up to 64 KiB for each relayed value beyond the bound of all of them.

Change: AnswerMemory bounds the unread answers of all clients (1/64 of the node's memory; the client that holds most and reads nothing is closed, beyond twice the bound the one that holds most). Input takes 1/64 (1/48 before), relayed values and values of writes 1/32 each (1/16 before), a read of a cache server's socket 16 KiB (64).

--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -7,6 +7,7 @@
 import beamspread.loop.NettyLogging;
 import beamspread.loop.SocketPolling;
 import beamspread.loop.UnreleasedSockets;
+import beamspread.node.client.AnswerMemory;
 import beamspread.node.client.ClientCloseCause;
 import beamspread.node.client.ClientConnections;
 import beamspread.node.client.ClientHandler;
@@ -83,17 +84,29 @@
   private static final long STALLED_REPLY_NANOS = 400_000_000L;
 
   /** The node's memory is this many times what undecoded input of clients may take. */
-  private static final long INPUT_PART_OF_MEMORY = 48;
+  private static final long INPUT_PART_OF_MEMORY = 64;
 
-  /** The direct memory of the process is this many times what undecoded input may take. */
-  private static final long INPUT_PART_OF_DIRECT_MEMORY = 8;
+  /** The node's memory is this many times what unread answers of clients may take. */
+  private static final long ANSWER_PART_OF_MEMORY = 64;
 
-  /** Size of the buffer for a read of a client's socket; it follows what the client sends. */
-  private static final int MIN_CLIENT_READ_BYTES = 512;
+  /** The node's memory is this many times what relayed values may take. */
+  private static final long RELAY_PART_OF_MEMORY = 32;
 
-  private static final int INITIAL_CLIENT_READ_BYTES = 2048;
+  /** The node's memory is this many times what the values of writes may take. */
+  private static final long WRITE_PART_OF_MEMORY = 32;
+
+  /** The direct memory of the process is this many times what input and answers may take each. */
+  private static final long PART_OF_DIRECT_MEMORY = 8;
+
+  /** Size of the buffer for a read of a socket; it follows what the peer sends. */
+  private static final int MIN_READ_BYTES = 512;
+
+  private static final int INITIAL_READ_BYTES = 2048;
   private static final int MAX_CLIENT_READ_BYTES = 4096;
 
+  /** Each relayed value holds one such buffer even when the memory for them is used up. */
+  private static final int MAX_SERVER_READ_BYTES = 16_384;
+
   /** Exit code of a process whose event loop has ended by an error. */
   private static final int EXIT_LOOP_ENDED = 70;
 
@@ -141,19 +154,28 @@
   }
 
   /**
-   * Returns the bounds for relayed values. Their memory equals that for the values of writes; both
-   * together stay within an eighth of the node's memory.
+   * Returns the bounds for relayed values. Their memory and that for the values of writes, unread
+   * answers and undecoded input stay within an eighth of the node's memory.
    */
   private static RelaySettings relaySettings(NodeConfig config) {
     return RelaySettings.defaults(
-        Math.max(1 << 20, (long) config.memoryMb() << 16),
+        Math.max(1 << 20, ((long) config.memoryMb() << 20) / RELAY_PART_OF_MEMORY),
         (long) (config.settings().limits().idleTimeout() * 1e9));
   }
 
   /** Returns the bound on undecoded input: small parts of the node's and of the direct memory. */
   private static long maxInputBytes(NodeConfig config) {
-    long ofNode = ((long) config.memoryMb() << 20) / INPUT_PART_OF_MEMORY;
-    return Math.min(ofNode, PlatformDependent.maxDirectMemory() / INPUT_PART_OF_DIRECT_MEMORY);
+    return partOfMemory(config, INPUT_PART_OF_MEMORY);
+  }
+
+  /** Returns the bound on unread answers. */
+  private static long maxAnswerBytes(NodeConfig config) {
+    return partOfMemory(config, ANSWER_PART_OF_MEMORY);
+  }
+
+  private static long partOfMemory(NodeConfig config, long part) {
+    long ofNode = ((long) config.memoryMb() << 20) / part;
+    return Math.min(ofNode, PlatformDependent.maxDirectMemory() / PART_OF_DIRECT_MEMORY);
   }
 
   Node(
@@ -168,19 +190,27 @@
     unreleasedSockets = new UnreleasedSockets(loopWatch);
     clientConnections =
         new ClientConnections(
-            limits, loopWatch, unreleasedSockets, new InputMemory(maxInputBytes(config)));
+            limits,
+            loopWatch,
+            unreleasedSockets,
+            new InputMemory(maxInputBytes(config)),
+            new AnswerMemory(maxAnswerBytes(config)));
     loopThreads = new EventLoopThreads("node", this::onLoopEnded);
     group =
         new MultiThreadIoEventLoopGroup(
             1, loopThreads, MonitoredIoHandler.factory(NioIoHandler.newFactory(), loopWatch));
     loop = group.next();
-    valueMemory = new MemoryBudget((long) config.memoryMb() << 16);
+    valueMemory = new MemoryBudget(((long) config.memoryMb() << 20) / WRITE_PART_OF_MEMORY);
     allocator = new PooledByteBufAllocator(true, 0, 1, 8192, 6, 64, 16, true);
     Bootstrap bootstrap =
         transport
             .client()
             .group(loop)
             .option(ChannelOption.ALLOCATOR, allocator)
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator(
+                    MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_SERVER_READ_BYTES))
             .option(
                 ChannelOption.CONNECT_TIMEOUT_MILLIS,
                 (int) Math.max(1, config.settings().limits().connectTimeout() * 1e3));
@@ -225,8 +255,7 @@
    */
   private static AdaptiveRecvByteBufAllocator clientReads() {
     AdaptiveRecvByteBufAllocator reads =
-        new AdaptiveRecvByteBufAllocator(
-            MIN_CLIENT_READ_BYTES, INITIAL_CLIENT_READ_BYTES, MAX_CLIENT_READ_BYTES);
+        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_CLIENT_READ_BYTES);
     reads.maxMessagesPerRead(1);
     return reads;
   }
--- a/src/main/java/beamspread/node/client/ClientConnections.java
+++ b/src/main/java/beamspread/node/client/ClientConnections.java
@@ -70,6 +70,7 @@
   private final EventLoopMonitor loopWatch;
   private final UnreleasedSockets unreleasedSockets;
   private final InputMemory inputMemory;
+  private final AnswerMemory answerMemory;
   private final LinkedHashSet<ClientHandler> open = new LinkedHashSet<>();
 
   /** Connections without any command so far, oldest first. */
@@ -102,22 +103,29 @@
    * @param loopWatch the watch of the event loop that the connections run on
    * @param unreleasedSockets the count of sockets that were closed in this turn of the loop
    * @param inputMemory the bound on undecoded input of all connections together
+   * @param answerMemory the bound on unread answers of all connections together
    */
   public ClientConnections(
       Limits limits,
       EventLoopMonitor loopWatch,
       UnreleasedSockets unreleasedSockets,
-      InputMemory inputMemory) {
+      InputMemory inputMemory,
+      AnswerMemory answerMemory) {
     this.limits = limits;
     this.loopWatch = loopWatch;
     this.unreleasedSockets = unreleasedSockets;
     this.inputMemory = inputMemory;
+    this.answerMemory = answerMemory;
   }
 
   InputMemory inputMemory() {
     return inputMemory;
   }
 
+  AnswerMemory answerMemory() {
+    return answerMemory;
+  }
+
   Limits limits() {
     return limits;
   }
--- a/src/main/java/beamspread/node/client/ClientHandler.java
+++ b/src/main/java/beamspread/node/client/ClientHandler.java
@@ -40,6 +40,9 @@
   /** A socket read within this time is not read again; about one turn of a lightly loaded loop. */
   private static final long RECENT_READ_NANOS = 2_000_000L;
 
+  /** Time without a read by the client after which it counts as one that does not read. */
+  private static final long READ_STALL_NANOS = 300_000_000L;
+
   /** Answer to a client whose undecoded input takes too much memory. */
   private static final String TOO_MANY_COMMANDS = "SERVER_ERROR too many commands";
 
@@ -87,6 +90,14 @@
   /** The channel's bytes before writable at the last check. */
   private long lastBytesBeforeWritable;
 
+  /** Bytes of answers that wait for those before them. */
+  private int waitingAnswerBytes;
+
+  /** Size of the unread answers as last recorded, and when it last was 0 or fell. */
+  private int recordedUnreadBytes;
+
+  private long lastAnswerProgressNanos;
+
   /** Invalid commands since the last valid one. */
   private int consecutiveInvalid;
 
@@ -212,8 +223,11 @@
 
     private void setAnswer(ByteBuf bytes) {
       pendingAnswer = bytes;
+      waitingAnswerBytes += bytes.readableBytes();
       if (answerSlots.peek() == this) {
         writeReadyAnswers();
+      } else {
+        recordUnreadAnswers();
       }
     }
 
@@ -302,6 +316,7 @@
     for (AnswerSlot slot = answerSlots.peek();
         slot != null && slot.pendingAnswer != null;
         slot = answerSlots.peek()) {
+      waitingAnswerBytes -= slot.pendingAnswer.readableBytes();
       channel.write(slot.pendingAnswer, channel.voidPromise());
       slot.pendingAnswer = null;
       if (slot.parts != null) {
@@ -315,12 +330,50 @@
     }
     if (!reading) {
       // Otherwise once for all commands of this read.
-      channel.flush();
+      flush();
     }
     updateAutoRead();
     markUnused();
   }
 
+  private void flush() {
+    channel.flush();
+    recordUnreadAnswers();
+  }
+
+  /** Returns the size of the answers that the socket has not accepted, relayed values aside. */
+  int unreadAnswerBytes() {
+    AnswerSlot first = answerSlots.peek();
+    boolean relaying = first != null && first.streaming;
+    ChannelOutboundBuffer unwritten = relaying ? null : channel.unsafe().outboundBuffer();
+    long unwrittenBytes = unwritten == null ? 0 : unwritten.totalPendingWriteBytes();
+    return channel.isActive()
+        ? (int) Math.min(Integer.MAX_VALUE, waitingAnswerBytes + unwrittenBytes)
+        : 0;
+  }
+
+  private void recordUnreadAnswers() {
+    int bytes = unreadAnswerBytes();
+    if (bytes == 0 && recordedUnreadBytes == 0) {
+      return;
+    }
+    if (recordedUnreadBytes == 0 || bytes < recordedUnreadBytes) {
+      lastAnswerProgressNanos = connections.idleClockNanos();
+    }
+    recordedUnreadBytes = bytes;
+    connections.answerMemory().update(this, bytes);
+  }
+
+  /** Returns whether the client has unread answers and has read none of them for some time. */
+  boolean isReadStalled() {
+    return connections.idleClockNanos() - lastAnswerProgressNanos > READ_STALL_NANOS;
+  }
+
+  /** Closes the connection, because its unread answers take memory that others need. */
+  void closeForUnreadAnswers() {
+    close(ClientCloseCause.ANSWERS_UNREAD);
+  }
+
   /** Marks the connection as idle if it is between requests, or as waiting for more data. */
   private void markUnused() {
     if (isQuiet()) {
@@ -610,7 +663,7 @@
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
     reading = false;
-    channel.flush();
+    flush();
     if (!decoder.mayHaveMore()) {
       lastReadNanos = System.nanoTime();
     }
@@ -633,6 +686,7 @@
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
     stalledSinceNanos = channel.isWritable() ? 0 : System.nanoTime();
     lastBytesBeforeWritable = channel.bytesBeforeWritable();
+    recordUnreadAnswers();
     updateAutoRead();
   }
 
@@ -661,6 +715,7 @@
     recordClose();
     connections.onClosed(this);
     connections.inputMemory().update(this, 0);
+    connections.answerMemory().update(this, 0);
     for (AnswerSlot slot = answerSlots.poll(); slot != null; slot = answerSlots.poll()) {
       slot.releaseBuffers();
       if (slot.streamListener != null) {
@@ -794,6 +849,7 @@
     if (!channel.isActive()) {
       return;
     }
+    recordUnreadAnswers();
     if (stalledSinceNanos != 0 && channel.bytesBeforeWritable() < lastBytesBeforeWritable) {
       // The client reads, if slowly.
       stalledSinceNanos = now;
--- a/src/main/java/beamspread/node/client/InputMemory.java
+++ b/src/main/java/beamspread/node/client/InputMemory.java
@@ -1,8 +1,5 @@
 package beamspread.node.client;
 
-import java.util.HashMap;
-import java.util.Map;
-
 /**
  * Bounds the memory of input that all client connections together keep undecoded: commands behind
  * too many pending answers, and incomplete ones. Beyond the bound, the client that holds most is
@@ -10,8 +7,7 @@
  */
 public final class InputMemory {
   private final long maxBytes;
-  private final Map<ClientHandler, Integer> bytesByClient = new HashMap<>();
-  private long totalBytes;
+  private final HeldBytes held = new HeldBytes();
 
   /**
    * @param maxBytes maximum capacity of all buffers together
@@ -26,26 +22,17 @@
    * @param bytes 0 for none
    */
   void update(ClientHandler client, int bytes) {
-    Integer previous = bytes == 0 ? bytesByClient.remove(client) : bytesByClient.put(client, bytes);
-    totalBytes += bytes - (previous == null ? 0 : previous);
-    while (totalBytes > maxBytes) {
+    held.update(client, bytes);
+    while (held.total() > maxBytes) {
       turnAwayLargest();
     }
   }
 
   /** Turns away the client that holds most, if any holds something. */
   void turnAwayLargest() {
-    ClientHandler largest = null;
-    int largestBytes = 0;
-    for (Map.Entry<ClientHandler, Integer> entry : bytesByClient.entrySet()) {
-      if (entry.getValue() > largestBytes) {
-        largest = entry.getKey();
-        largestBytes = entry.getValue();
-      }
-    }
+    ClientHandler largest = held.largest(client -> true);
     if (largest != null) {
-      bytesByClient.remove(largest);
-      totalBytes -= largestBytes;
+      held.update(largest, 0);
       largest.turnAway();
     }
   }
