A client that pauses its reading keeps its connection while its answers can be in time

InvalidClientsTest.clientThatPausesItsReadingIsNotCutOffBeforeItsDeadlines: failed before ('expected 62002 but was 4081'), passes.

--- a/src/main/java/beamspread/node/RequestIntake.java
+++ b/src/main/java/beamspread/node/RequestIntake.java
@@ -201,6 +201,7 @@
     long budgetNanos = (long) (received.budget() * 1e9);
     Request adjusted = waitNanos < budgetNanos ? received.withBudget(waitNanos / 1e9) : received;
     openRequests.add(request);
+    request.slot.setDeadline(request.deadlineNanos);
     metrics.received(received);
     events.post(at -> passToModule(at, request, adjusted));
     return new AcceptedRequest() {
--- a/src/main/java/beamspread/node/client/ClientConnections.java
+++ b/src/main/java/beamspread/node/client/ClientConnections.java
@@ -22,7 +22,8 @@
    *     within 3 s
    * @param idleTimeoutNanos how long an idle connection is kept while few are open
    * @param crowdedIdleTimeoutNanos how long an idle connection is kept while many are open
-   * @param stallTimeoutNanos how long a client may read none of the data that is queued for it
+   * @param stallTimeoutNanos how long a client may read none of the data that is queued for it,
+   *     once no answer of it can be in time any more
    * @param lingerTimeoutNanos how long a rejected client has to read the error line
    */
   public record Limits(
--- a/src/main/java/beamspread/node/client/ClientHandler.java
+++ b/src/main/java/beamspread/node/client/ClientHandler.java
@@ -84,6 +84,11 @@
   /** The decoder's count of reads with data when data last came. */
   private long readCountAtLastData;
 
+  /** Until when an answer to a request of this client can be in time. */
+  private long lastDeadlineNanos;
+
+  private boolean hasDeadline;
+
   /** When the client last read queued data; 0 while the channel is writable. */
   private long stalledSinceNanos;
 
@@ -193,6 +198,12 @@
       return detectDisconnect();
     }
 
+    /** Sets until when the answer is in time, on the clock of {@link System#nanoTime()}. */
+    public void setDeadline(long deadlineNanos) {
+      lastDeadlineNanos = hasDeadline ? Math.max(lastDeadlineNanos, deadlineNanos) : deadlineNanos;
+      hasDeadline = true;
+    }
+
     /** Returns the allocator for the answer's buffers. */
     public ByteBufAllocator allocator() {
       return channel.alloc();
@@ -855,7 +866,10 @@
       stalledSinceNanos = now;
     }
     lastBytesBeforeWritable = channel.bytesBeforeWritable();
-    if (stalledSinceNanos != 0 && now - stalledSinceNanos > limits.stallTimeoutNanos()) {
+    boolean mayBeInTime = hasDeadline && now - lastDeadlineNanos < 0;
+    if (stalledSinceNanos != 0
+        && !mayBeInTime
+        && now - stalledSinceNanos > limits.stallTimeoutNanos()) {
       // The client may have read while the event loop was stalled.
       SocketPolling.writeNow(channel);
       if (stalledSinceNanos != 0) {
--- a/src/test/java/beamspread/node/InvalidClientsTest.java
+++ b/src/test/java/beamspread/node/InvalidClientsTest.java
@@ -1,6 +1,7 @@
 package beamspread.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -104,6 +105,45 @@
     }
   }
 
+  /** Answers that can still be in time are not cut off for want of reading. */
+  @Test
+  void clientThatPausesItsReadingIsNotCutOffBeforeItsDeadlines() throws Exception {
+    ClientConnections.Limits limits =
+        new ClientConnections.Limits(
+            9, LONG_NANOS, LONG_NANOS, LONG_NANOS, SHORT_NANOS, LONG_NANOS);
+    int length = 62_000;
+    int batches = 4;
+    int readsPerBatch = 30;
+    String value = "v".repeat(length) + "\r\n";
+    try (Peers.Server server =
+            new Peers.Server(
+                line -> "VA " + length + " O" + Peers.flagValue(line, 'O') + " h1\r\n" + value);
+        Peers.Rig rig = new Peers.Rig(limits, server);
+        Peers.Client client = new Peers.Client(rig.address, 4096)) {
+      for (int batch = 0; batch < batches; batch++) {
+        for (int i = 0; i < readsPerBatch; i++) {
+          client.read(batch + "-" + i);
+        }
+        int sent = (batch + 1) * readsPerBatch;
+        Thread.sleep(100);
+        if (server.lines.size() < sent) {
+          break;
+        }
+      }
+      Thread.sleep(5 * SHORT_NANOS / 1_000_000);
+      int served = 0;
+      for (int i = 0; i < server.lines.size(); i++) {
+        String line = client.readLine();
+        assertNotNull(line, "cut off after " + served + " of " + server.lines.size());
+        served += line.startsWith("VA ") ? 1 : 0;
+        if (line.startsWith("VA ")) {
+          assertEquals(length + 2, client.readBytes(length + 2).length);
+        }
+      }
+      assertTrue(served > readsPerBatch, served + " served");
+    }
+  }
+
   @Test
   void incompleteCommandTimesOutWithError() throws Exception {
     try (Peers.Rig rig = new Peers.Rig(limits(9, SHORT_NANOS, LONG_NANOS));
--- a/src/test/java/beamspread/node/PausingServer.java
+++ b/src/test/java/beamspread/node/PausingServer.java
@@ -3,7 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -26,10 +26,11 @@
     static final Piece NEVER = new Piece(0, null);
   }
 
+  private static final int BACKLOG = 512;
+
   private final String name;
   private final Function<String, List<Piece>> script;
-  private final ServerSocket listener =
-      new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
+  private final ServerSocket listener;
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
   /** Commands received. */
@@ -39,8 +40,16 @@
   final AtomicInteger cutOff = new AtomicInteger();
 
   PausingServer(String name, Function<String, List<Piece>> script) throws IOException {
+    this(name, 0, script);
+  }
+
+  /** Starts a server at this port, 0 for any. */
+  PausingServer(String name, int port, Function<String, List<Piece>> script) throws IOException {
     this.name = name;
     this.script = script;
+    listener = new ServerSocket();
+    listener.setReuseAddress(true);
+    listener.bind(new InetSocketAddress("127.0.0.1", port), BACKLOG);
     startThread(this::accept);
   }
 
@@ -51,6 +60,10 @@
         .formatted(name, listener.getLocalPort());
   }
 
+  int port() {
+    return listener.getLocalPort();
+  }
+
   private interface IoTask {
     void run() throws IOException, InterruptedException;
   }
