An id that comes again after its client has left does not run twice

Cause: ids were compared with those of open requests only; the attempts of a client that leaves are cancelled, and the request forgotten.

In an upgrade the other process does not know them: still open.

LeavingClientTest.anIdThatComesAgainAfterItsClientHasLeftDoesNotRunTwice: 'HD Oagain-put c77' before, passes.

--- a/src/main/java/beamspread/node/OpenRequest.java
+++ b/src/main/java/beamspread/node/OpenRequest.java
@@ -45,6 +45,11 @@
         .anyMatch(attempt -> attempt.hasConnection() && attempt.mayHaveExecuted);
   }
 
+  /** Returns whether a server may have carried out an effect that must not be repeated. */
+  boolean mayHaveTakenEffect() {
+    return mayHaveRun() && attempts.stream().anyMatch(attempt -> attempt.unrepeatable);
+  }
+
   String id() {
     return command.request.id();
   }
--- a/src/main/java/beamspread/node/RequestIntake.java
+++ b/src/main/java/beamspread/node/RequestIntake.java
@@ -42,6 +42,7 @@
   private final long longestDeadlineNanos;
   private final DeadlineReserve deadlineReserve = new DeadlineReserve();
   private final ConcurrencyLimit concurrencyLimit = new ConcurrencyLimit();
+  private final AbandonedIds abandonedIds = new AbandonedIds();
 
   /** Rewrites keys to canonical ones; null if keys are left as they are. */
   private VariantRewriter variantTraffic;
@@ -154,7 +155,8 @@
    */
   private AcceptedRequest begin(
       MetaCommand command, ClientHandler.AnswerSlot slot, long earliestSentAt, long now) {
-    if (openRequests.get(command.request.id()) != null) {
+    String id = command.request.id();
+    if (openRequests.get(id) != null || abandonedIds.contains(id)) {
       command.release();
       slot.answerLine("CLIENT_ERROR id in use");
       return null;
@@ -231,6 +233,9 @@
     if (request.ended) {
       return;
     }
+    if (request.mayHaveTakenEffect()) {
+      abandonedIds.add(request.id());
+    }
     openRequests.markEnded(request);
     metrics.clientDisconnected();
     events.post(
--- a/src/test/java/beamspread/node/LeavingClientTest.java
+++ b/src/test/java/beamspread/node/LeavingClientTest.java
@@ -144,6 +144,32 @@
     }
   }
 
+  /** The effect may have been done; a client that repeats the id must not have it done again. */
+  @Test
+  void anIdThatComesAgainAfterItsClientHasLeftDoesNotRunTwice() throws Exception {
+    play(
+        1,
+        (node, seed) -> {
+          for (String serviceClass : List.of("put", "keyed")) {
+            String write =
+                "ms key 5 Oagain-%s Pc=%s,d=1000,k=1\r\nworld\r\n"
+                    .formatted(serviceClass, serviceClass);
+            int before = attempts.get();
+            try (Peers.Client leaving = new Peers.Client(node)) {
+              leaving.send(write);
+              Peers.await("it is sent", () -> attempts.get() > before);
+            }
+            for (int i = 0; i < 2; i++) {
+              TimeUnit.MILLISECONDS.sleep(3 * HIT_MILLIS);
+              try (Peers.Client again = new Peers.Client(node)) {
+                assertThat(again.send(write).readLine()).isEqualTo("CLIENT_ERROR id in use");
+              }
+            }
+            assertThat(attempts.get()).isEqualTo(before + 1);
+          }
+        });
+  }
+
   /** A client that sends too much is rejected, with an answer to each command up to there. */
   @Test
   void aClientThatSendsMuchAndStaysIsAnswered() throws Exception {
