--- a/src/main/java/beamspread/node/RequestIntake.java
+++ b/src/main/java/beamspread/node/RequestIntake.java
@@ -238,14 +238,7 @@
     }
     openRequests.markEnded(request);
     metrics.clientDisconnected();
-    events.post(
-        now -> {
-          try {
-            balancer.onClientGone(now, request.id());
-          } finally {
-            openRequests.removeIfComplete(request);
-          }
-        });
+    endInModule(request);
   }
 
   /**
@@ -261,6 +254,11 @@
       return;
     }
     openRequests.answer(request, RequestCounters.Ending.OVERLOAD, BUSY_ANSWER);
+    endInModule(request);
+  }
+
+  /** Has the decision module forget a request that has ended here, and cancel its attempts. */
+  private void endInModule(OpenRequest request) {
     events.post(
         now -> {
           try {
