The look for a client's close reads on whatever the turn of the loop allows

Cause: with at most 64 commands decoded in a turn, the look before an attempt stopped at 64 KiB held without 256 pending answers, found no close and did not reject the client either; a request that begins after a stall went out. By reading; not shown by a test of its own.

Change: while the socket is read for a decision, the limit of the turn does not hold; an attempt of a client that is rejected in that moment is refused with it.

FloodingClientTest, LeavingClientTest, ClientDisconnectTest, ConnectionCloseTest, PipelinedInputMemoryTest and InvalidClientsTest pass.

--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -358,6 +358,8 @@
   private void checkClientConnection(OpenRequest request) {
     if (request.slot.clientDisconnected()) {
       intake.clientGone(request);
+    } else if (request.slot.clientRejected()) {
+      intake.clientRejected(request);
     }
   }
 
--- a/src/main/java/beamspread/node/RequestIntake.java
+++ b/src/main/java/beamspread/node/RequestIntake.java
@@ -245,7 +245,7 @@
    * Refuses a request of a rejected client if no attempt of it can have run; otherwise it waits for
    * its attempts, and gets no others.
    */
-  private void clientRejected(OpenRequest request) {
+  void clientRejected(OpenRequest request) {
     if (request.ended) {
       return;
     }
--- a/src/main/java/beamspread/node/client/ClientHandler.java
+++ b/src/main/java/beamspread/node/client/ClientHandler.java
@@ -128,6 +128,9 @@
 
   private int commandsInTurn;
 
+  /** Whether the socket is read for a decision now, whatever the turn allows. */
+  private boolean lookingAhead;
+
   /** Whether decoding resumes in the next turn of the event loop. */
   private boolean resumeScheduled;
 
@@ -137,6 +140,9 @@
   /** Whether no more commands are accepted: the last answer is written or queued. */
   private boolean closing;
 
+  /** Whether the client was rejected because of the amount of its input. */
+  private boolean rejectedForInput;
+
   /** Whether all answers are written and the client has yet to close. */
   private boolean lingering;
 
@@ -198,6 +204,11 @@
       return detectDisconnect();
     }
 
+    /** Returns whether the client was rejected because of the amount of its input. */
+    public boolean clientRejected() {
+      return rejectedForInput;
+    }
+
     /** Sets until when the answer is in time, on the clock of {@link System#nanoTime()}. */
     public void setDeadline(long deadlineNanos) {
       lastDeadlineNanos = hasDeadline ? Math.max(lastDeadlineNanos, deadlineNanos) : deadlineNanos;
@@ -449,6 +460,8 @@
    * data, and a close follows the last.
    */
   private void readAvailable() {
+    lookingAhead = true;
+    updateAutoRead();
     long piecesBefore = -1;
     for (int i = 0;
         i < MAX_READS_PER_CHECK && decoder.readCount() > piecesBefore && canRead();
@@ -456,6 +469,8 @@
       piecesBefore = decoder.readCount();
       SocketPolling.readNow(channel);
     }
+    lookingAhead = false;
+    updateAutoRead();
   }
 
   /**
@@ -491,6 +506,7 @@
 
   private boolean hasUsedUpTurn() {
     return !closing
+        && !lookingAhead
         && commandsInTurn >= MAX_COMMANDS_PER_TURN
         && commandTurn == connections.loopTurn();
   }
@@ -578,6 +594,7 @@
    */
   private void rejectForInput() {
     rejectAndClose(TOO_MANY_COMMANDS);
+    rejectedForInput = true;
     for (AnswerSlot slot : List.copyOf(answerSlots)) {
       if (slot.request != null) {
         slot.request.clientRejected();
