The tests' cache server writes an answer and the no-op replies behind it at once

RefusalProofTest.answerBehindUnsolicitedLineIsServed failed once, in a whole build beside another and three busy processes: 'Socket closed' at the write of the reply to a no-op, Peers.java:118. After the whole answer before it the node had ended the connection, and the stand-in's reading thread had closed the socket. Not the node's fault; the two writes are one now. RefusalProofTest, PeersTest and MalformedRepliesTest pass.

--- a/src/test/java/beamspread/node/Peers.java
+++ b/src/test/java/beamspread/node/Peers.java
@@ -109,14 +109,12 @@
 
       /** Writes an answer, or a part of one. */
       void write(String text) throws IOException {
-        // Taken once: after a whole answer the peer may end the connection, which closes the
-        // socket.
-        OutputStream out = socket.getOutputStream();
-        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
         unanswered -= text.endsWith("\r\n") && unanswered > 0 ? 1 : 0;
-        for (; unanswered == 0 && heldNoOps > 0; heldNoOps--) {
-          out.write("MN\r\n".getBytes(StandardCharsets.ISO_8859_1));
-        }
+        int noOpReplies = unanswered == 0 ? heldNoOps : 0;
+        heldNoOps -= noOpReplies;
+        // One write: after a whole answer the peer may end the connection, which closes the socket.
+        OutputStream out = socket.getOutputStream();
+        out.write((text + "MN\r\n".repeat(noOpReplies)).getBytes(StandardCharsets.ISO_8859_1));
         out.flush();
       }
 
