Read again: a method that nothing called, a condition that stood twice

AnswerMemory.totalBytes had no caller; ClientHandler.exceptionCaught asked twice whether the cause was an I/O failure. Nothing else changes. MalformedRepliesTest, ClientConnectionsTest, InvalidClientsTest, PipelinedInputMemoryTest and ArchitectureTest pass, and the format's check.

--- a/src/main/java/beamspread/node/client/AnswerMemory.java
+++ b/src/main/java/beamspread/node/client/AnswerMemory.java
@@ -35,11 +35,6 @@
     }
   }
 
-  /** Returns the size of all unread answers as last recorded. */
-  public long totalBytes() {
-    return held.total();
-  }
-
   private boolean closeLargest(boolean whetherOrNotItReads) {
     ClientHandler largest = held.largest(client -> whetherOrNotItReads || client.isReadStalled());
     if (largest == null) {
--- a/src/main/java/beamspread/node/client/ClientHandler.java
+++ b/src/main/java/beamspread/node/client/ClientHandler.java
@@ -761,13 +761,11 @@
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (!(cause instanceof IOException)) {
       requestHandler.reportError("client connection", cause);
+      setCloseCause(ClientCloseCause.ERROR);
     }
     if (cause instanceof OutOfMemoryError) {
       connections.inputMemory().turnAwayLargest();
     }
-    if (!(cause instanceof IOException)) {
-      setCloseCause(ClientCloseCause.ERROR);
-    }
     ctx.close();
   }
 
