A value that may break off is not begun before others that are owed

Cause: the beginning of a value, which can't be taken back, was written by its turn alone, whatever stood behind it, and commands were taken while it was passed on. The close at the break is right, since the client has to be able to tell that the value is not whole.

Now a value with others behind it is held until it is whole, in a reserved part of the memory for values, up to the first deadline and 1.8 s, and refused with a line otherwise. One with nothing behind it is passed on, and nothing more is read from its client until its last byte has come; commands that waited meanwhile have only the time that is left to them. The status counts answers that are lost with a connection, by cause, and values refused unfinished.

--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -214,7 +214,7 @@
             .option(
                 ChannelOption.CONNECT_TIMEOUT_MILLIS,
                 (int) Math.max(1, config.settings().limits().connectTimeout() * 1e3));
-    relays = new ValueRelays(relaySettings, clientConnections::idleClockNanos);
+    relays = new ValueRelays(relaySettings, loop, clientConnections::idleClockNanos);
     dispatcher =
         new Dispatcher(
             config,
@@ -288,6 +288,7 @@
         dispatcher.unservedByCause(),
         dispatcher.pools().replyStatistics(),
         clientConnections.closesByCause(),
+        clientConnections.lostAnswersByCause(),
         NodeStatus.LargeValues.of(relayCounts()),
         draining,
         loopWatch.longestTurnNanos() / 1_000_000,
--- a/src/main/java/beamspread/node/NodeStatus.java
+++ b/src/main/java/beamspread/node/NodeStatus.java
@@ -29,6 +29,8 @@
  * @param unserved how many requests this node has answered itself for each cause, since the start
  * @param replies counts of replies that answer nothing, of refusals, and of ended connections
  * @param clientCloses how many connections of clients have ended for each cause, since the start
+ * @param lostAnswers how many answers to requests that may have run this node has lost by closing
+ *     their connections, for each cause
  * @param largeValues counts of large values
  * @param draining whether a planned restart has begun
  * @param longestTurnMs the longest iteration of the event loop since the start, in milliseconds
@@ -48,6 +50,7 @@
     Map<UnservedCause, Long> unserved,
     ReplyStatistics replies,
     Map<ClientCloseCause, Long> clientCloses,
+    Map<ClientCloseCause, Long> lostAnswers,
     LargeValues largeValues,
     boolean draining,
     long longestTurnMs,
@@ -95,16 +98,23 @@
    * @param completed relayed completely
    * @param brokenByServers not completed by their cache servers
    * @param slowClients aborted because their clients read too slowly
+   * @param refusedUnfinished refused before their first byte in favour of the answers behind them
    */
   record LargeValues(
-      int open, long heldBytes, long completed, long brokenByServers, long slowClients) {
+      int open,
+      long heldBytes,
+      long completed,
+      long brokenByServers,
+      long slowClients,
+      long refusedUnfinished) {
     static LargeValues of(Relays relays) {
       return new LargeValues(
           relays.openCount(),
           relays.heldBytes(),
           relays.completedCount(),
           relays.abortedByServers(),
-          relays.slowClients());
+          relays.slowClients(),
+          relays.refusedUnfinished());
     }
 
     private void write(JsonGenerator json) throws IOException {
@@ -114,6 +124,7 @@
       json.writeNumberField("passed", completed);
       json.writeNumberField("broken_by_servers", brokenByServers);
       json.writeNumberField("slow_clients", slowClients);
+      json.writeNumberField("refused_unfinished", refusedUnfinished);
       json.writeEndObject();
     }
   }
@@ -141,6 +152,7 @@
               Json.writeCounts(json, "unserved", unserved);
               replies.write(json);
               Json.writeCounts(json, "client_closes", clientCloses);
+              Json.writeCounts(json, "lost_answers", lostAnswers);
               largeValues.write(json);
               json.writeBooleanField("draining", draining);
               json.writeNumberField("longest_turn_ms", longestTurnMs);
--- a/src/main/java/beamspread/node/RequestIntake.java
+++ b/src/main/java/beamspread/node/RequestIntake.java
@@ -145,6 +145,11 @@
         refuseOnBegin = true;
       }
     }
+
+    @Override
+    public boolean mayHaveRun() {
+      return accepted != null && accepted.mayHaveRun();
+    }
   }
 
   /**
@@ -216,6 +221,11 @@
       public void clientRejected() {
         RequestIntake.this.clientRejected(request);
       }
+
+      @Override
+      public boolean mayHaveRun() {
+        return request.mayHaveRun();
+      }
     };
   }
 
--- a/src/main/java/beamspread/node/client/ClientConnections.java
+++ b/src/main/java/beamspread/node/client/ClientConnections.java
@@ -90,6 +90,7 @@
   private final LinkedHashSet<ClientHandler> lingering = new LinkedHashSet<>();
 
   private final Map<ClientCloseCause, Long> closes = new EnumMap<>(ClientCloseCause.class);
+  private final Map<ClientCloseCause, Long> lostAnswers = new EnumMap<>(ClientCloseCause.class);
   private volatile boolean draining;
   private long drainDeadlineNanos;
   private Runnable onEmpty;
@@ -330,6 +331,21 @@
     closes.merge(cause, 1L, Long::sum);
   }
 
+  /** Records how many answers to requests that may have run were lost with a connection. */
+  void recordLostAnswers(ClientCloseCause cause, long answers) {
+    if (answers > 0) {
+      lostAnswers.merge(cause, answers, Long::sum);
+    }
+  }
+
+  /**
+   * Returns how many answers to requests that may have run were lost since the start because this
+   * node closed their connections, for each cause.
+   */
+  public Map<ClientCloseCause, Long> lostAnswersByCause() {
+    return lostAnswers;
+  }
+
   /** Returns how many connections have ended since the start, for each cause. */
   public Map<ClientCloseCause, Long> closesByCause() {
     return closes;
--- a/src/main/java/beamspread/node/client/ClientHandler.java
+++ b/src/main/java/beamspread/node/client/ClientHandler.java
@@ -49,6 +49,9 @@
   /** Answer to a client for which there is no room. */
   private static final String BUSY_LINE = "SERVER_ERROR busy\r\n";
 
+  /** How long before a client's deadline an answer that is ready for it is no more held back. */
+  private static final long HELD_ANSWER_MARGIN_NANOS = 20_000_000L;
+
   /** Maximum reads of a socket to empty it, or to find a close behind the data. */
   private static final int MAX_READS_PER_CHECK = 64;
 
@@ -120,6 +123,14 @@
   /** Whether the socket is being read now. */
   private boolean reading;
 
+  /** Whether no input is taken now: too much is pending, or nothing may be taken yet. */
+  private boolean inputPaused;
+
+  private final UnreadInput unreadInput = new UnreadInput();
+
+  /** Whether kept input is being decoded again, without a read of the socket. */
+  private boolean resuming;
+
   /** Whether a command was received since {@link #isQuietAfterRead()} began. */
   private boolean commandReceived;
 
@@ -166,7 +177,16 @@
 
   /** Is notified of the progress of an answer that is written in parts. */
   public interface StreamListener {
-    /** Called when all answers before this one are written. */
+    /**
+     * Called when all answers before this one are written while others wait behind it, so that its
+     * beginning is written once all parts were given. Called again when another answer can wait
+     * less.
+     *
+     * @param nanos how long the answers behind it can wait
+     */
+    void heldUntilWhole(long nanos);
+
+    /** Called when all answers before this one are written, and its beginning is. */
     void slotReached();
 
     /** Called when this many bytes of the parts were written to the socket. */
@@ -189,6 +209,12 @@
     /** Whether the beginning of this answer is written and its parts follow directly. */
     private boolean streaming;
 
+    /** Whether all parts of the answer were given, so that it can't break off any more. */
+    private boolean complete;
+
+    /** Until when the answer is in time; 0 if that is not known. */
+    private long deadlineNanos;
+
     /** The answer, or its first line, until it is written; null for none. */
     private ByteBuf pendingAnswer;
 
@@ -213,6 +239,8 @@
     public void setDeadline(long deadlineNanos) {
       lastDeadlineNanos = hasDeadline ? Math.max(lastDeadlineNanos, deadlineNanos) : deadlineNanos;
       hasDeadline = true;
+      this.deadlineNanos = deadlineNanos;
+      shortenHold();
     }
 
     /** Returns the allocator for the answer's buffers. */
@@ -292,6 +320,31 @@
               });
     }
 
+    /** Records that all parts of the answer were given; their end is written afterwards. */
+    public void allPartsGiven() {
+      if (streamListener == null) {
+        return;
+      }
+      complete = true;
+      if (streaming) {
+        updateAutoRead();
+        readPausedInput();
+      } else if (answerSlots.peek() == this) {
+        writeReadyAnswers();
+      }
+    }
+
+    /** Returns whether it is an answer in parts that may break off and has others behind it. */
+    private boolean mustWait() {
+      boolean mayBreakOff = parts != null && !complete;
+      return mayBreakOff && (answerSlots.size() > 1 || mayHoldCommands());
+    }
+
+    /** Returns whether its turn has come, and it waits to become whole. */
+    private boolean isHeldUntilWhole() {
+      return answerSlots.peek() == this && !streaming && pendingAnswer != null && mustWait();
+    }
+
     /** Ends the answer after all its parts were written. */
     public void finishStream() {
       streamListener = null;
@@ -313,6 +366,11 @@
       answerLine(line);
     }
 
+    /** Returns whether its request may have run and none of its answer was written. */
+    private boolean wouldBeLost() {
+      return !streaming && request != null && request.mayHaveRun();
+    }
+
     private void startStreaming() {
       streaming = true;
       streamListener.slotReached();
@@ -323,6 +381,7 @@
 
     private void releaseBuffers() {
       if (pendingAnswer != null) {
+        waitingAnswerBytes -= pendingAnswer.readableBytes();
         pendingAnswer.release();
         pendingAnswer = null;
       }
@@ -338,6 +397,10 @@
     for (AnswerSlot slot = answerSlots.peek();
         slot != null && slot.pendingAnswer != null;
         slot = answerSlots.peek()) {
+      if (slot.mustWait()) {
+        slot.streamListener.heldUntilWhole(nanosUntilFirstDue());
+        break;
+      }
       waitingAnswerBytes -= slot.pendingAnswer.readableBytes();
       channel.write(slot.pendingAnswer, channel.voidPromise());
       slot.pendingAnswer = null;
@@ -358,6 +421,41 @@
     markUnused();
   }
 
+  /** Returns whether commands that were read may wait to be decoded. */
+  private boolean mayHoldCommands() {
+    return decoder.isDecoding() || decoder.heldBytes() > 0;
+  }
+
+  /**
+   * Returns how long the answers that are owed can wait: until shortly before the first deadline.
+   * Those whose deadline has passed have waited for answers before them already.
+   */
+  private long nanosUntilFirstDue() {
+    long now = System.nanoTime();
+    long first = Long.MAX_VALUE;
+    for (AnswerSlot slot : answerSlots) {
+      long left = slot.deadlineNanos - now;
+      if (slot.deadlineNanos != 0 && left > 0) {
+        first = Math.min(first, Math.max(0, left - HELD_ANSWER_MARGIN_NANOS));
+      }
+    }
+    return first;
+  }
+
+  /** Passes a new deadline on to the value that is held before it, if there is one. */
+  private void shortenHold() {
+    AnswerSlot first = answerSlots.peek();
+    if (first != null && first.isHeldUntilWhole()) {
+      first.streamListener.heldUntilWhole(nanosUntilFirstDue());
+    }
+  }
+
+  /** Returns whether an answer that may break off is being written, so that no command is taken. */
+  private boolean isPassingOnPartialValue() {
+    AnswerSlot first = answerSlots.peek();
+    return first != null && first.streaming && !first.complete;
+  }
+
   private void flush() {
     channel.flush();
     recordUnreadAnswers();
@@ -393,6 +491,12 @@
 
   /** Closes the connection, because its unread answers take memory that others need. */
   void closeForUnreadAnswers() {
+    AnswerSlot first = answerSlots.peek();
+    if (first != null && first.isHeldUntilWhole()) {
+      // It is refused now, and the answers behind it are written.
+      first.streamListener.heldUntilWhole(0);
+      return;
+    }
     close(ClientCloseCause.ANSWERS_UNREAD);
   }
 
@@ -443,7 +547,9 @@
   }
 
   private boolean canRead() {
-    return channel.isActive() && decoder.heldBytes() <= MAX_HELD_BYTES;
+    return channel.isActive()
+        && !isPassingOnPartialValue()
+        && decoder.heldBytes() <= MAX_HELD_BYTES;
   }
 
   private boolean detectDisconnect() {
@@ -537,25 +643,54 @@
    * Turns reading on or off: the decoder holds commands while too many answers are pending and when
    * the connection has had its turn of the event loop, and the socket is not read while the client
    * does not read its answers. A close that happens meanwhile is found by the periodic check or by
-   * a failing write, so that a queued request is not sent long after its client has left.
+   * a failing write, so that a queued request is not sent long after its client has left. Nothing
+   * is taken either while a value is passed on that may break off, since the connection would end
+   * with it.
    */
   private void updateAutoRead() {
     boolean usedUpTurn = hasUsedUpTurn();
-    boolean holds = usedUpTurn || hasTooManyPending();
+    boolean partialValue = !closing && isPassingOnPartialValue();
+    boolean holds = usedUpTurn || hasTooManyPending() || partialValue;
     if (usedUpTurn) {
       resumeInNextTurn();
     }
     boolean canTakeMore = closing ? decoder.mayDiscard() : channel.isWritable();
     channel.config().setAutoRead(canTakeMore && !holds);
-    if (decoder.setHolding(holds) && !holds) {
+    boolean wasPaused = inputPaused;
+    inputPaused = !closing && (holds || !canTakeMore);
+    if (inputPaused) {
+      unreadInput.paused(System.nanoTime());
+    }
+    boolean inputKept = decoder.setHolding(holds);
+    if ((inputKept && !holds) || (wasPaused && !inputPaused)) {
       // Runs as a separate task, since the caller may be the decoder.
-      channel
-          .eventLoop()
-          .execute(
-              () -> {
-                channel.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
-                channel.pipeline().fireChannelReadComplete();
-              });
+      channel.eventLoop().execute(this::resumeInput);
+    }
+  }
+
+  /** Decodes the input that was kept, and looks whether more of it has come to the socket. */
+  private void resumeInput() {
+    resuming = true;
+    channel.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
+    channel.pipeline().fireChannelReadComplete();
+    resuming = false;
+    if (!inputPaused && !closing) {
+      readPausedInput();
+    }
+  }
+
+  /** Reads once, to learn whether commands that came during a pause are still in the socket. */
+  private void readPausedInput() {
+    long readsBefore = decoder.readCount();
+    SocketPolling.readNow(channel);
+    if (decoder.readCount() == readsBefore) {
+      recordCaughtUp();
+    }
+  }
+
+  private void recordCaughtUp() {
+    if (decoder.heldBytes() == 0) {
+      unreadInput.caughtUp();
     }
   }
 
@@ -660,6 +795,7 @@
     // A connection that was accepted after a stall is first read in the next turn.
     boolean justAccepted =
         earliestConnectNanos != 0 && connections.loopTurn() == acceptedInLoopTurn + 1;
+    maxUnread = Math.max(maxUnread, unreadInput.maxAgeNanos(now));
     return justAccepted ? Math.max(maxUnread, now - earliestConnectNanos) : maxUnread;
   }
 
@@ -692,8 +828,11 @@
   public void channelReadComplete(ChannelHandlerContext ctx) {
     reading = false;
     flush();
-    if (!decoder.mayHaveMore()) {
+    if (!resuming && !decoder.mayHaveMore()) {
       lastReadNanos = System.nanoTime();
+      if (!inputPaused) {
+        recordCaughtUp();
+      }
     }
     if (decoder.isIncomplete() && decoder.heldBytes() == 0) {
       partialSinceNanos = partialSinceNanos == 0 ? System.nanoTime() : partialSinceNanos;
@@ -732,6 +871,8 @@
   private void recordClose() {
     connections.recordClose(closeCause);
     if (closeCause != ClientCloseCause.BY_CLIENT && !answerSlots.isEmpty()) {
+      long lostAnswers = answerSlots.stream().filter(AnswerSlot::wouldBeLost).count();
+      connections.recordLostAnswers(closeCause, lostAnswers);
       requestHandler.connectionClosed(
           "connection of client %s closed with %d answers owed (%s)"
               .formatted(channel.remoteAddress(), answerSlots.size(), closeCause));
@@ -881,6 +1022,10 @@
       stalledSinceNanos = now;
     }
     lastBytesBeforeWritable = channel.bytesBeforeWritable();
+    if (partialSinceNanos != 0 && isPassingOnPartialValue()) {
+      // The rest of the command is not read meanwhile.
+      partialSinceNanos = now;
+    }
     boolean mayBeInTime = hasDeadline && now - lastDeadlineNanos < 0;
     if (stalledSinceNanos != 0
         && !mayBeInTime
--- a/src/main/java/beamspread/node/client/RequestHandler.java
+++ b/src/main/java/beamspread/node/client/RequestHandler.java
@@ -14,6 +14,9 @@
      * owed an answer.
      */
     void clientRejected();
+
+    /** Returns whether a cache server may have run it. */
+    boolean mayHaveRun();
   }
 
   /**
--- a/src/main/java/beamspread/node/relay/ValueRelays.java
+++ b/src/main/java/beamspread/node/relay/ValueRelays.java
@@ -10,6 +10,8 @@
 import beamspread.relay.Relays;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 /** Carries out the decisions of {@link Relays}. Runs on the event loop only. */
@@ -25,16 +27,19 @@
   }
 
   private final Relays relays;
+  private final EventLoop loop;
   private final LongSupplier clock;
   private int activeCount;
 
   /**
    * Creates relays without values.
    *
+   * @param loop the event loop of all connections
    * @param clock a clock in nanoseconds that excludes stalls of the event loop
    */
-  public ValueRelays(RelaySettings settings, LongSupplier clock) {
+  public ValueRelays(RelaySettings settings, EventLoop loop, LongSupplier clock) {
     this.relays = new Relays(settings);
+    this.loop = loop;
     this.clock = clock;
   }
 
@@ -106,6 +111,7 @@
 
     @Override
     public void completed() {
+      slot.allPartsGiven();
       relay.completed(clock.getAsLong());
     }
 
@@ -121,6 +127,14 @@
       relay.clientReady(clock.getAsLong());
     }
 
+    @Override
+    public void heldUntilWhole(long nanos) {
+      relay.holdUntilWhole(clock.getAsLong(), nanos);
+      long checkAfter = Math.min(nanos, Relay.MAX_WHOLE_HOLD_NANOS);
+      loop.schedule(
+          () -> relay.checkDeadlines(clock.getAsLong()), checkAfter, TimeUnit.NANOSECONDS);
+    }
+
     @Override
     public void bytesWritten(int bytes) {
       relay.delivered(clock.getAsLong(), bytes);
--- a/src/main/java/beamspread/relay/Relay.java
+++ b/src/main/java/beamspread/relay/Relay.java
@@ -18,10 +18,28 @@
     ENDED
   }
 
+  /**
+   * Longest time for which a value is held until it is whole: the rest of a value that comes may
+   * not be held back for 2 s.
+   */
+  public static final long MAX_WHOLE_HOLD_NANOS = 1_800_000_000L;
+
   private final Relays relays;
   private final RelayActions actions;
   private Phase phase = Phase.RELAYING;
 
+  /** Whether nothing of it is passed on before all of it was received. */
+  private boolean heldUntilWhole;
+
+  /** Whether room for all of it is reserved. */
+  private boolean hasReservation;
+
+  /** Until when it may be held to become whole. */
+  private long holdDeadline;
+
+  /** Size of the whole value in bytes. */
+  private final long length;
+
   /** Bytes not yet received from the cache server. */
   private long remainingBytes;
 
@@ -47,6 +65,7 @@
   Relay(Relays relays, RelayActions actions, long now, long length, long deadline) {
     this.relays = relays;
     this.actions = actions;
+    this.length = length;
     this.remainingBytes = length;
     this.lastReceivedAt = now;
     this.deadline = deadline;
@@ -56,6 +75,25 @@
     return heldBytes;
   }
 
+  long remainingBytes() {
+    return remainingBytes;
+  }
+
+  /** Returns whether its bytes go on to the client, so that what is held gets less by itself. */
+  boolean isClientReady() {
+    return clientReady;
+  }
+
+  /**
+   * Returns how much of the shared memory it takes, beside the part for values before their turn.
+   */
+  long committedBytes() {
+    if (hasReservation) {
+      return heldBytes + remainingBytes;
+    }
+    return clientReady ? heldBytes : 0;
+  }
+
   /**
    * Records a received part.
    *
@@ -73,7 +111,7 @@
     }
     heldBytes += bytes;
     relays.heldBytes(bytes);
-    if (relays.pauseIfFull(this)) {
+    if (!hasReservation && relays.pauseIfFull(this)) {
       actions.setReading(false);
     }
     return true;
@@ -110,6 +148,50 @@
     }
   }
 
+  /**
+   * Holds the value until all of it was received, because other answers wait behind it and would be
+   * lost with it if it broke off halfway. Until then it can be refused: at once if it is larger
+   * than the memory for values, and otherwise when it takes too long. Further calls can only
+   * shorten the time.
+   *
+   * @param nanos how long the answers behind it can wait
+   */
+  public void holdUntilWhole(long now, long nanos) {
+    if (phase != Phase.RELAYING || clientReady) {
+      return;
+    }
+    long deadlineOfOthers = now + Math.min(nanos, MAX_WHOLE_HOLD_NANOS);
+    if (heldUntilWhole) {
+      holdDeadline = Math.min(holdDeadline, deadlineOfOthers);
+      return;
+    }
+    if (length > relays.settings().maxHeldTotal()) {
+      refuse(now);
+      return;
+    }
+    heldUntilWhole = true;
+    holdDeadline = deadlineOfOthers;
+    reserveIfRoom(now);
+  }
+
+  /** Reserves room for all of the value if it is held and the room is there. */
+  private void reserveIfRoom(long now) {
+    if (!heldUntilWhole || hasReservation || phase != Phase.RELAYING) {
+      return;
+    }
+    hasReservation = relays.reserveWhole(this, length);
+    if (hasReservation && relays.unpause(this)) {
+      resume(now);
+    }
+  }
+
+  /** Refuses a value of which nothing was passed on, in favour of the answers behind it. */
+  private void refuse(long now) {
+    relays.recordRefusedUnfinished();
+    actions.cutClient();
+    endForClient(now);
+  }
+
   /** Records that all earlier answers are with the client and this value is being written. */
   public void clientReady(long now) {
     clientReady = true;
@@ -132,6 +214,13 @@
     relays.released(now, this, bytes);
   }
 
+  /** Checks its time limits now. */
+  public void checkDeadlines(long now) {
+    if (phase != Phase.ENDED) {
+      tick(now);
+    }
+  }
+
   /** Records that the client has disconnected. */
   public void clientDisconnected(long now) {
     if (phase != Phase.ENDED && phase != Phase.DISCARDING) {
@@ -153,6 +242,7 @@
       // Closing would break the answers that wait behind it, and a new connection costs the server
       // more than the remaining bytes.
       phase = Phase.DISCARDING;
+      releaseReservation();
       lastReceivedAt = now;
       if (relays.unpause(this)) {
         actions.setReading(true);
@@ -167,6 +257,11 @@
 
   /** Checks the time limits of the server and the client; none ends before the deadline. */
   void tick(long now) {
+    if (heldUntilWhole && phase == Phase.RELAYING && now - holdDeadline >= 0) {
+      refuse(now);
+      return;
+    }
+    reserveIfRoom(now);
     if (isServerSilent(now)) {
       actions.closeServerConnection();
       aborted();
@@ -236,9 +331,16 @@
   private void end(boolean complete) {
     boolean alreadyReported = phase == Phase.DISCARDING;
     phase = Phase.ENDED;
+    releaseReservation();
     relays.ended(this, complete);
     if (!alreadyReported) {
       actions.ended(complete);
     }
   }
+
+  private void releaseReservation() {
+    relays.releaseReservation(this);
+    hasReservation = false;
+    heldUntilWhole = false;
+  }
 }
--- a/src/main/java/beamspread/relay/Relays.java
+++ b/src/main/java/beamspread/relay/Relays.java
@@ -10,14 +10,22 @@
  * the node is not counted against its peers.
  */
 public final class Relays {
+  /** Values whose turn has not come may take this part of the memory for values, and of theirs. */
+  private static final int PART_BEFORE_TURN = 4;
+
   private final RelaySettings settings;
   private final Set<Relay> openRelays = new LinkedHashSet<>();
 
   /** Relays whose reading is paused, longest paused first. */
   private final Set<Relay> paused = new LinkedHashSet<>();
 
+  /** Relays for whose whole values room is reserved. */
+  private final Set<Relay> reserved = new LinkedHashSet<>();
+
   private long heldBytes;
+
   private long completedCount;
+  private long refusedUnfinished;
   private long abortedByServers;
   private long slowClients;
 
@@ -76,10 +84,37 @@
     return slowClients;
   }
 
+  /**
+   * Returns how many values were refused before their first byte, because they did not become whole
+   * while answers behind them could wait.
+   */
+  public long refusedUnfinished() {
+    return refusedUnfinished;
+  }
+
   RelaySettings settings() {
     return settings;
   }
 
+  /** Reserves room for a whole value of this size; returns whether it was there. */
+  boolean reserveWhole(Relay relay, long length) {
+    long committed = openRelays.stream().mapToLong(Relay::committedBytes).sum();
+    return committed + length <= settings.maxHeldTotal() && reserved.add(relay);
+  }
+
+  void releaseReservation(Relay relay) {
+    reserved.remove(relay);
+  }
+
+  /** Returns the bytes that are held, and those that are yet to come for which room is reserved. */
+  private long usedBytes() {
+    long toCome = 0;
+    for (Relay relay : reserved) {
+      toCome += relay.remainingBytes();
+    }
+    return heldBytes + toCome;
+  }
+
   /** Adds received bytes to the held ones. */
   void heldBytes(int bytes) {
     heldBytes += bytes;
@@ -89,8 +124,10 @@
    * Pauses the reading of a value if too much is held; returns whether it was not paused before.
    */
   boolean pauseIfFull(Relay relay) {
+    int part = relay.isClientReady() ? 1 : PART_BEFORE_TURN;
     boolean full =
-        relay.heldBytes() >= settings.maxHeldPerValue() || heldBytes >= settings.maxHeldTotal();
+        relay.heldBytes() >= settings.maxHeldPerValue() / part
+            || usedBytes() >= settings.maxHeldTotal() / part;
     return full && paused.add(relay);
   }
 
@@ -127,8 +164,10 @@
 
   private void resumeIfRoom(long now, Relay relay) {
     // A value of which nothing is held is read in any case, so that each makes progress.
+    int part = relay.isClientReady() ? 1 : PART_BEFORE_TURN;
     boolean room =
-        heldBytes < settings.maxHeldTotal() && relay.heldBytes() <= settings.maxHeldPerValue() / 2;
+        usedBytes() < settings.maxHeldTotal() / part
+            && relay.heldBytes() <= settings.maxHeldPerValue() / part / 2;
     if ((room || relay.heldBytes() == 0) && paused.remove(relay)) {
       relay.resume(now);
     }
@@ -138,6 +177,10 @@
     abortedByServers++;
   }
 
+  void recordRefusedUnfinished() {
+    refusedUnfinished++;
+  }
+
   void recordSlowClient() {
     slowClients++;
   }
@@ -145,6 +188,7 @@
   void ended(Relay relay, boolean complete) {
     openRelays.remove(relay);
     paused.remove(relay);
+    reserved.remove(relay);
     heldBytes -= relay.heldBytes();
     completedCount += complete ? 1 : 0;
   }
--- a/src/test/java/beamspread/relay/RelaysTest.java
+++ b/src/test/java/beamspread/relay/RelaysTest.java
@@ -164,6 +164,79 @@
     assertThat(relays.heldBytes()).isZero();
   }
 
+  @Test
+  void readsAValueThatIsHeldUntilItIsWholeBeyondItsUsualPart() {
+    Relays relays = new Relays(SETTINGS);
+    Endpoints endpoints = new Endpoints(relays, 0, 8 * READ_BYTES);
+    endpoints.sendFromServer(0, 4 * READ_BYTES);
+    assertThat(endpoints.reading).isFalse();
+    endpoints.relay.holdUntilWhole(1, 20 * MS);
+    assertThat(endpoints.reading).as("room for all of it is reserved").isTrue();
+    endpoints.sendFromServer(2, 4 * READ_BYTES);
+    relays.tick(30 * MS);
+    assertThat(endpoints.clientCut).as("it is whole").isFalse();
+    endpoints.relay.clientReady(30 * MS);
+    endpoints.deliverToClient(31 * MS, 8 * READ_BYTES);
+    assertThat(endpoints.endedComplete).isTrue();
+    assertThat(relays.refusedUnfinished()).isZero();
+  }
+
+  @Test
+  void refusesAHeldValueThatIsNotWholeWhenTheAnswersBehindItAreDue() {
+    Relays relays = new Relays(SETTINGS);
+    Endpoints endpoints = new Endpoints(relays, 0, 8 * READ_BYTES);
+    endpoints.sendFromServer(0, READ_BYTES);
+    endpoints.relay.holdUntilWhole(0, 20 * MS);
+    endpoints.relay.holdUntilWhole(MS, 5 * MS);
+    endpoints.relay.holdUntilWhole(2 * MS, 30 * MS);
+    relays.tick(6 * MS - 1);
+    assertThat(endpoints.clientCut).isFalse();
+    relays.tick(6 * MS);
+    assertThat(endpoints.clientCut).isTrue();
+    assertThat(endpoints.endedComplete).isFalse();
+    assertThat(relays.refusedUnfinished()).isEqualTo(1);
+    assertThat(relays.heldBytes()).isZero();
+  }
+
+  @Test
+  void refusesAValueAtOnceThatCanNeverBeHeldWhole() {
+    Relays relays = new Relays(SETTINGS);
+    Endpoints endpoints = new Endpoints(relays, 0, 11 * READ_BYTES);
+    endpoints.relay.holdUntilWhole(0, 20 * MS);
+    assertThat(endpoints.clientCut).isTrue();
+    assertThat(relays.refusedUnfinished()).isEqualTo(1);
+  }
+
+  @Test
+  void aHeldValueWaitsForRoomBesideOtherHeldOnes() {
+    Relays relays = new Relays(SETTINGS);
+    Endpoints first = new Endpoints(relays, 0, 6 * READ_BYTES);
+    Endpoints second = new Endpoints(relays, 0, 6 * READ_BYTES);
+    first.relay.holdUntilWhole(0, 20 * MS);
+    second.relay.holdUntilWhole(0, 20 * MS);
+    first.sendFromServer(1, READ_BYTES);
+    second.sendFromServer(1, READ_BYTES);
+    assertThat(first.reading).isTrue();
+    assertThat(second.reading).as("a first part only").isFalse();
+    first.relay.aborted();
+    relays.tick(10 * MS);
+    assertThat(second.reading).as("the first has given its room back").isTrue();
+    second.sendFromServer(11 * MS, 5 * READ_BYTES);
+    relays.tick(20 * MS);
+    assertThat(second.clientCut).as("it is whole").isFalse();
+  }
+
+  @Test
+  void readsLessOfAValueBeforeItsTurn() {
+    Relays relays = new Relays(SETTINGS);
+    Endpoints endpoints = new Endpoints(relays, 0, 8 * READ_BYTES);
+    endpoints.sendFromServer(0, READ_BYTES);
+    assertThat(endpoints.reading).isFalse();
+    endpoints.relay.clientReady(1);
+    endpoints.deliverToClient(2, READ_BYTES);
+    assertThat(endpoints.reading).isTrue();
+  }
+
   @Test
   void closesASilentServerUnlessItsReadingIsPaused() {
     Relays relays = new Relays(SETTINGS);
