Answers that wait for a slow one are no longer taken for unread

Callers whose first request was slow and whose further answers took more than the memory for unread answers (a sixty-fourth of memory_mb) saw their connection end, and all its answers lost, though they read what they were sent.

Cause: AnswerMemory closes the client that holds most and has read nothing for 0.3 s; the time counted from when the answers began to wait for the one before them, so the connection ended in the moment in which that one came. Now it counts from when there is something to read.

Evidence: answersThatWaitForASlowOneAreNotTakenForUnread ends with the cause ANSWERS_UNREAD on the code before and passes now.

--- a/src/main/java/beamspread/node/client/ClientHandler.java
+++ b/src/main/java/beamspread/node/client/ClientHandler.java
@@ -477,7 +477,9 @@
     if (bytes == 0 && recordedUnreadBytes == 0) {
       return;
     }
-    if (recordedUnreadBytes == 0 || bytes < recordedUnreadBytes) {
+    // Answers that wait for another one before them are not yet the client's to read.
+    boolean nothingToRead = !hasUnwrittenAnswers();
+    if (recordedUnreadBytes == 0 || bytes < recordedUnreadBytes || nothingToRead) {
       lastAnswerProgressNanos = connections.idleClockNanos();
     }
     recordedUnreadBytes = bytes;
--- a/src/test/java/beamspread/node/AnswersBehindValueTest.java
+++ b/src/test/java/beamspread/node/AnswersBehindValueTest.java
@@ -6,7 +6,10 @@
 import beamspread.node.client.ClientConnections;
 import beamspread.relay.RelaySettings;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.ExtendWith;
 
@@ -150,6 +153,59 @@
     }
   }
 
+  /** They take more than the memory for unread answers, and their client reads all it is sent. */
+  @Test
+  void answersThatWaitForASlowOneAreNotTakenForUnread() throws Exception {
+    String value = VALUE.substring(0, 62_000);
+    int reads = 31;
+    int moreThanTheMemory = 20;
+    AtomicInteger answeredReads = new AtomicInteger();
+    CountDownLatch writeMayEnd = new CountDownLatch(1);
+    Function<String, String> script =
+        line -> {
+          if (line.startsWith("ms")) {
+            awaitUninterruptibly(writeMayEnd);
+            return Peers.successReply(line);
+          }
+          answeredReads.incrementAndGet();
+          return "VA 62000 O" + Peers.flagValue(line, 'O') + " h1\r\n" + value + "\r\n";
+        };
+    Peers.Server[] servers = new Peers.Server[8];
+    for (int i = 0; i < servers.length; i++) {
+      servers[i] = new Peers.Server(script);
+    }
+    try (Peers.Rig rig = new Peers.Rig(LIMITS, servers);
+        Peers.Client client = rig.client()) {
+      client.write("slow");
+      for (int i = 0; i < reads; i++) {
+        client.read("r" + i);
+      }
+      Peers.await("most reads are answered", () -> answeredReads.get() >= moreThanTheMemory);
+      long answeredAt = System.nanoTime();
+      Peers.await("the answers wait", () -> System.nanoTime() - answeredAt > 800_000_000L);
+      writeMayEnd.countDown();
+      assertThat(client.readLine()).isEqualTo("HD Oslow c77");
+      for (int i = 0; i < reads; i++) {
+        assertThat(client.readLine()).isEqualTo("VA 62000 Or" + i);
+        assertThat(client.readBytes(value.length())).hasSize(value.length());
+        assertThat(client.readLine()).isEmpty();
+      }
+      assertThat(rig.node.status().lostAnswers()).isEmpty();
+    } finally {
+      for (Peers.Server server : servers) {
+        server.close();
+      }
+    }
+  }
+
+  private static void awaitUninterruptibly(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
   @Test
   void nothingIsTakenBehindAValueThatIsBeingPassedOn() throws Exception {
     try (Peers.Server server = new Peers.Server(AnswersBehindValueTest::firstPart);
