An owner is told the lease that it has written itself

Cause: JdbcLeases.acquire wrote the row and told what a second look found, in a transaction of its own; another take-over in between made that the other's lease. raise had the same shape, and release did not look at the holder, so the loser could give the winner's lease back.

--- a/src/main/java/beamspread/cli/LeaseCommand.java
+++ b/src/main/java/beamspread/cli/LeaseCommand.java
@@ -179,7 +179,7 @@
         show(List.of(lease));
       }
       checkMeant("release");
-      if (!store.release(new FencingToken(name(), token()))) {
+      if (!store.release(new FencingToken(name(), token()), lease.holder())) {
         err().println("not released: nobody holds " + name() + " with token " + token());
         return 1;
       }
--- a/src/main/java/beamspread/fleet/LeaseKeeper.java
+++ b/src/main/java/beamspread/fleet/LeaseKeeper.java
@@ -91,6 +91,9 @@
       try {
         boolean takeOver = otherwise == Otherwise.TAKE_OVER;
         Lease lease = store.acquire(name, id, by, durationMillis, takeOver);
+        if (!lease.holder().equals(id)) {
+          throw new LeaseStoreException("leases: " + name + " was given to another holder", null);
+        }
         synchronized (this) {
           holder.granted(lease.token(), askedAt);
         }
@@ -165,7 +168,7 @@
     }
     if (held) {
       try {
-        store.release(token);
+        store.release(token, id);
         log("released", token);
       } catch (LeaseStoreException e) {
         // It expires by itself.
--- a/src/main/java/beamspread/lease/LeaseStore.java
+++ b/src/main/java/beamspread/lease/LeaseStore.java
@@ -27,8 +27,12 @@
   /** Prolongs a lease from now on; false if it has expired or passed to somebody else. */
   boolean renew(FencingToken token, String holder, long durationMillis) throws LeaseStoreException;
 
-  /** Gives a lease back; false if it is no longer this one. Its epoch is never used again. */
-  boolean release(FencingToken token) throws LeaseStoreException;
+  /**
+   * Gives a lease back; false if it is no longer this holder's. Its epoch is never used again.
+   *
+   * @param holder the id under which it was taken
+   */
+  boolean release(FencingToken token, String holder) throws LeaseStoreException;
 
   /**
    * Sets the epoch of a lease to this one at least, and takes it from whoever holds it. For a store
--- a/src/main/java/beamspread/record/Database.java
+++ b/src/main/java/beamspread/record/Database.java
@@ -79,14 +79,8 @@
   <T> List<T> read(String sql, RowReader<T> reader, Object... values) throws RecordException {
     SQLException last = null;
     for (int i = 0; i < TRIES; i++) {
-      try (Connection connection = store.connect();
-          PreparedStatement statement = prepare(connection, sql, values);
-          ResultSet rows = statement.executeQuery()) {
-        List<T> found = new ArrayList<>();
-        while (rows.next()) {
-          found.add(reader.read(rows));
-        }
-        return found;
+      try (Connection connection = store.connect()) {
+        return query(connection, sql, reader, values);
       } catch (SQLException e) {
         last = e;
       }
@@ -94,6 +88,19 @@
     throw failure("could not be read", last);
   }
 
+  /** The rows of a query, as this connection's transaction sees them. */
+  static <T> List<T> query(Connection connection, String sql, RowReader<T> reader, Object... values)
+      throws SQLException {
+    try (PreparedStatement statement = prepare(connection, sql, values);
+        ResultSet rows = statement.executeQuery()) {
+      List<T> found = new ArrayList<>();
+      while (rows.next()) {
+        found.add(reader.read(rows));
+      }
+      return found;
+    }
+  }
+
   /** Carries a statement out; returns how many rows it changed. */
   static int update(Connection connection, String sql, Object... values) throws SQLException {
     try (PreparedStatement statement = prepare(connection, sql, values)) {
--- a/src/main/java/beamspread/record/JdbcLeases.java
+++ b/src/main/java/beamspread/record/JdbcLeases.java
@@ -48,7 +48,8 @@
     return open(new PostgresStore(url, user, password, limitMillis));
   }
 
-  private static JdbcLeases open(Store store) throws LeaseStoreException {
+  /** The leases in this store, which is closed with them. */
+  static JdbcLeases open(Store store) throws LeaseStoreException {
     try {
       return new JdbcLeases(Database.open(store));
     } catch (RecordException e) {
@@ -106,33 +107,59 @@
         }
       }
       long epoch = before.map(Lease::epoch).orElse(0L);
-      if (change(on -> take(on, name, holder, described, epoch, durationMillis)) == 1) {
-        return find(name).orElseThrow();
+      Optional<Lease> taken =
+          change(on -> take(on, name, holder, described, epoch, durationMillis));
+      if (taken.isPresent()) {
+        return taken.get();
       }
       // Somebody else was faster, or this was done and its answer lost: the next look tells.
     }
     throw new LeaseStoreException("leases: " + name + " changes faster than it can be read", null);
   }
 
-  /** Makes this holder the owner after the one of this epoch; how many rows it changed. */
-  private int take(
+  /**
+   * Makes this holder the owner after the one of this epoch, and reads what was written before
+   * anybody else can change it; empty if the lease has another epoch by now.
+   */
+  private Optional<Lease> take(
       Connection on, String name, String holder, String described, long before, long durationMillis)
       throws SQLException {
-    String clock = database.clock();
-    if (before == 0) {
-      return Database.update(
-          on,
-          "INSERT INTO fleet_lease (name, holder, described, epoch, acquired_ms, expires_ms)"
-              + " VALUES (?, ?, ?, 1, "
-              + clock
-              + ", "
-              + clock
-              + " + ?) ON CONFLICT (name) DO NOTHING",
-          name,
-          holder,
-          described,
-          durationMillis);
+    int changed =
+        before == 0
+            ? insert(on, name, holder, described, durationMillis)
+            : update(on, name, holder, described, before, durationMillis);
+    if (changed == 0) {
+      return Optional.empty();
+    }
+    Lease written = readWritten(on, name);
+    if (!written.holder().equals(holder) || written.epoch() != before + 1) {
+      throw new SQLException("lease " + name + " was written and reads as another one");
     }
+    return Optional.of(written);
+  }
+
+  private int insert(
+      Connection on, String name, String holder, String described, long durationMillis)
+      throws SQLException {
+    String clock = database.clock();
+    return Database.update(
+        on,
+        "INSERT INTO fleet_lease (name, holder, described, epoch, acquired_ms, expires_ms)"
+            + " VALUES (?, ?, ?, 1, "
+            + clock
+            + ", "
+            + clock
+            + " + ?) ON CONFLICT (name) DO NOTHING",
+        name,
+        holder,
+        described,
+        durationMillis);
+  }
+
+  private int update(
+      Connection on, String name, String holder, String described, long before, long durationMillis)
+      throws SQLException {
+    String clock = database.clock();
     return Database.update(
         on,
         "UPDATE fleet_lease SET holder = ?, described = ?, epoch = ?, acquired_ms = "
@@ -168,33 +195,36 @@
   }
 
   @Override
-  public synchronized boolean release(FencingToken token) throws LeaseStoreException {
+  public synchronized boolean release(FencingToken token, String holder)
+      throws LeaseStoreException {
     return change(
             on ->
                 Database.update(
                     on,
                     "UPDATE fleet_lease SET holder = '', expires_ms = 0"
-                        + " WHERE name = ? AND epoch = ? AND holder <> ''",
+                        + " WHERE name = ? AND epoch = ? AND holder = ? AND holder <> ''",
                     token.name(),
-                    token.epoch()))
+                    token.epoch(),
+                    holder))
         == 1;
   }
 
   @Override
   public synchronized Lease raise(String name, long epoch) throws LeaseStoreException {
     FencingToken least = new FencingToken(name, epoch);
-    change(
-        on ->
-            Database.update(
-                on,
-                "INSERT INTO fleet_lease (name, holder, described, epoch, acquired_ms, expires_ms)"
-                    + " VALUES (?, '', 'raised', ?, 0, 0) ON CONFLICT (name) DO UPDATE SET"
-                    + " holder = '', described = 'raised', expires_ms = 0, epoch ="
-                    + " CASE WHEN fleet_lease.epoch > excluded.epoch THEN fleet_lease.epoch"
-                    + " ELSE excluded.epoch END",
-                least.name(),
-                least.epoch()));
-    return find(name).orElseThrow();
+    return change(
+        on -> {
+          Database.update(
+              on,
+              "INSERT INTO fleet_lease (name, holder, described, epoch, acquired_ms, expires_ms)"
+                  + " VALUES (?, '', 'raised', ?, 0, 0) ON CONFLICT (name) DO UPDATE SET"
+                  + " holder = '', described = 'raised', expires_ms = 0, epoch ="
+                  + " CASE WHEN fleet_lease.epoch > excluded.epoch THEN fleet_lease.epoch"
+                  + " ELSE excluded.epoch END",
+              least.name(),
+              least.epoch());
+          return readWritten(on, name);
+        });
   }
 
   @Override
@@ -207,6 +237,11 @@
     return read(" ORDER BY name");
   }
 
+  /** Reads a lease in the transaction that has just written it. */
+  private Lease readWritten(Connection on, String name) throws SQLException {
+    return Database.query(on, select + " WHERE name = ?", JdbcLeases::lease, name).get(0);
+  }
+
   private List<Lease> read(String which, Object... values) throws LeaseStoreException {
     try {
       return database.read(select + which, JdbcLeases::lease, values);
--- a/src/test/java/beamspread/record/PostgresLeasesTest.java
+++ b/src/test/java/beamspread/record/PostgresLeasesTest.java
@@ -29,8 +29,8 @@
   }
 
   @Override
-  LeaseStore open() throws Exception {
-    return JdbcLeases.postgres(server.url(), "fleet", "secret", 1000);
+  Store store() {
+    return new PostgresStore(server.url(), "fleet", "secret", 1000);
   }
 
   @ParameterizedTest
--- a/src/test/java/beamspread/record/SqliteLeasesTest.java
+++ b/src/test/java/beamspread/record/SqliteLeasesTest.java
@@ -1,9 +1,9 @@
 package beamspread.record;
 
-import beamspread.lease.LeaseStore;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Properties;
 import java.util.concurrent.CyclicBarrier;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -20,8 +20,8 @@
   @TempDir Path folder;
 
   @Override
-  LeaseStore open() throws Exception {
-    return JdbcLeases.sqlite(folder.resolve("leases.db"));
+  Store store() {
+    return new SqliteStore(folder.resolve("leases.db"), new Properties());
   }
 
   /** Commands that start together: none fails since another is just making the file. */
