Ids of requests are claimed in one place by all processes of a node

Cause: whether an id is in use was decided by one process's memory.

Now each process with a shared folder claims the id before it sends anything, by compare-and-set in a file that all have mapped. A claim outlasts its process and its client for as long as an effect may come. Ids of clients that left are kept by time in the process itself too; by number alone a burst of 4,096 could push one out.

--- a/src/main/java/beamspread/node/Dispatcher.java
+++ b/src/main/java/beamspread/node/Dispatcher.java
@@ -117,7 +117,15 @@
     this.balancer = new Balancer(settings, config.seed(), this);
     this.listExpiry = new ListExpiry(loop, clock, balancer, this::onListExpired, log::info);
     this.intake =
-        new RequestIntake(loop, openRequests, events, balancer, metrics, log, longestDeadlineNanos);
+        new RequestIntake(
+            loop,
+            openRequests,
+            events,
+            balancer,
+            metrics,
+            log,
+            settings.services(),
+            longestDeadlineNanos);
     this.targets =
         new Targets(
             pools, clock, update -> events.post(now -> balancer.onMembershipUpdate(now, update)));
--- a/src/main/java/beamspread/node/Node.java
+++ b/src/main/java/beamspread/node/Node.java
@@ -371,6 +371,7 @@
     if (management != null) {
       sharedFolder = sharedFolder == null ? openSharedFolder(config, log) : sharedFolder;
       operatorCalls = new OperatorCalls(dispatcher, sharedFolder, log, resourceUsage());
+      shareRequestIds();
     }
     loop.submit(
             () -> {
@@ -437,6 +438,18 @@
     return listener.localAddress();
   }
 
+  /** Claims the ids of requests together with the other processes of this node, if it can. */
+  private void shareRequestIds() {
+    if (sharedFolder == null) {
+      return;
+    }
+    try {
+      dispatcher.intake().shareIds(sharedFolder.openRequestIds());
+    } catch (IOException e) {
+      log.error("ids of requests are not shared with other processes of this node", e);
+    }
+  }
+
   /** Returns its canonical keys; null if it has none. */
   VariantKeys variantKeys() {
     return variantKeys;
--- a/src/main/java/beamspread/node/OpenRequest.java
+++ b/src/main/java/beamspread/node/OpenRequest.java
@@ -1,6 +1,8 @@
 package beamspread.node;
 
 import beamspread.node.client.ClientHandler;
+import beamspread.node.handover.IdClaim;
+import beamspread.node.handover.RequestIds;
 import beamspread.node.wire.MetaCommand;
 import beamspread.variants.VariantKeys;
 import java.util.ArrayList;
@@ -26,6 +28,12 @@
   /** Whether the final answer was given or the client has disconnected. */
   boolean ended;
 
+  /** The claim of its id in all processes of this node. */
+  IdClaim idClaim = RequestIds.OF_ONE_PROCESS.claim(0, 0, true);
+
+  /** Whether the claim outlasts the request, since its effect may still come. */
+  boolean keepsId;
+
   OpenRequest(
       MetaCommand command, ClientHandler.AnswerSlot slot, long receivedNanos, long deadlineNanos) {
     this.receivedNanos = receivedNanos;
--- a/src/main/java/beamspread/node/OpenRequests.java
+++ b/src/main/java/beamspread/node/OpenRequests.java
@@ -61,8 +61,10 @@
   void removeIfComplete(OpenRequest request) {
     if (request.ended) {
       request.command.release();
-      if (request.attemptsInFlight == 0) {
-        byId.remove(request.id(), request);
+      if (request.attemptsInFlight == 0 && byId.remove(request.id(), request)) {
+        if (!request.keepsId) {
+          request.idClaim.release();
+        }
       }
     }
   }
--- a/src/main/java/beamspread/node/RequestIntake.java
+++ b/src/main/java/beamspread/node/RequestIntake.java
@@ -2,9 +2,13 @@
 
 import beamspread.loop.EventLoopMonitor;
 import beamspread.maintenance.RequestCounters;
+import beamspread.model.Hashes;
 import beamspread.model.Request;
+import beamspread.model.Settings;
 import beamspread.node.client.ClientHandler;
 import beamspread.node.client.RequestHandler;
+import beamspread.node.handover.IdClaim;
+import beamspread.node.handover.RequestIds;
 import beamspread.node.variants.VariantRewriter;
 import beamspread.node.wire.MetaCommand;
 import beamspread.overload.ConcurrencyLimit;
@@ -12,7 +16,10 @@
 import beamspread.policy.Balancer;
 import beamspread.variants.VariantKeys;
 import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * Accepts the requests of clients: determines how much time each has left, whether it may begin,
@@ -31,6 +38,9 @@
    */
   private static final long MIN_WAIT_AFTER_STALL_NANOS = 50_000_000L;
 
+  /** How long beyond its deadline an attempt that was sent may still take effect. */
+  private static final long EFFECT_NANOS = 30_000_000_000L;
+
   private static final String BUSY_ANSWER = "SERVER_ERROR busy";
 
   private final EventLoop loop;
@@ -43,6 +53,8 @@
   private final DeadlineReserve deadlineReserve = new DeadlineReserve();
   private final ConcurrencyLimit concurrencyLimit = new ConcurrencyLimit();
   private final AbandonedIds abandonedIds = new AbandonedIds();
+  private final Set<String> repeatableClasses;
+  private RequestIds requestIds = RequestIds.OF_ONE_PROCESS;
 
   /** Rewrites keys to canonical ones; null if keys are left as they are. */
   private VariantRewriter variantTraffic;
@@ -61,6 +73,7 @@
       Balancer balancer,
       RequestMetrics metrics,
       Log log,
+      List<Settings.ServiceClass> services,
       long longestDeadlineNanos) {
     this.loop = loop;
     this.openRequests = openRequests;
@@ -69,6 +82,16 @@
     this.metrics = metrics;
     this.log = log;
     this.longestDeadlineNanos = longestDeadlineNanos;
+    this.repeatableClasses =
+        services.stream()
+            .filter(service -> service.effect() == Settings.Effect.SAFE)
+            .map(Settings.ServiceClass::name)
+            .collect(Collectors.toUnmodifiableSet());
+  }
+
+  /** Claims the ids of requests where other processes of this node see them, from now on. */
+  void shareIds(RequestIds shared) {
+    requestIds = shared;
   }
 
   /** Replaces keys by canonical ones from now on. */
@@ -161,9 +184,8 @@
   private AcceptedRequest begin(
       MetaCommand command, ClientHandler.AnswerSlot slot, long earliestSentAt, long now) {
     String id = command.request.id();
-    if (openRequests.get(id) != null || abandonedIds.contains(id)) {
-      command.release();
-      slot.answerLine("CLIENT_ERROR id in use");
+    if (openRequests.get(id) != null || abandonedIds.contains(id, now)) {
+      refuseId(command, slot);
       return null;
     }
     long waitNanos = remainingNanos(command.request, now, earliestSentAt);
@@ -174,15 +196,33 @@
       refuse(command, slot);
       return null;
     }
+    boolean repeatable = repeatableClasses.contains(command.request.serviceClass());
+    IdClaim claim =
+        requestIds.claim(Hashes.of(id), waitNanos + (repeatable ? 0 : EFFECT_NANOS), repeatable);
+    if (claim.outcome() == IdClaim.Outcome.IN_USE) {
+      refuseId(command, slot);
+      return null;
+    }
+    if (claim.outcome() == IdClaim.Outcome.NO_ROOM && !repeatable) {
+      refuse(command, slot);
+      return null;
+    }
     waitNanos -= deadlineReserve.reserveNanos(now, waitNanos);
     VariantKeys.Rewrite rewrite = variantTraffic == null ? null : variantTraffic.rewrite(command);
     boolean keyReplaced = rewrite != null && !rewrite.key().equals(command.request.key());
     MetaCommand forwarded = keyReplaced ? command.withKey(rewrite.key()) : command;
     OpenRequest request = new OpenRequest(forwarded, slot, earliestSentAt, now + waitNanos);
     request.keyRewrite = rewrite;
+    request.idClaim = claim;
     return begin(request, waitNanos);
   }
 
+  /** Refuses a request whose id another one has. */
+  private static void refuseId(MetaCommand command, ClientHandler.AnswerSlot slot) {
+    command.release();
+    slot.answerLine("CLIENT_ERROR id in use");
+  }
+
   /** Refuses a request before it begins. */
   private void refuse(MetaCommand command, ClientHandler.AnswerSlot slot) {
     metrics.refusedEarly(command.request);
@@ -244,7 +284,8 @@
       return;
     }
     if (request.mayHaveTakenEffect()) {
-      abandonedIds.add(request.id());
+      abandonedIds.add(request.id(), System.nanoTime(), request.deadlineNanos + EFFECT_NANOS);
+      request.keepsId = true;
     }
     openRequests.markEnded(request);
     metrics.clientDisconnected();
--- a/src/main/java/beamspread/node/handover/SharedFolder.java
+++ b/src/main/java/beamspread/node/handover/SharedFolder.java
@@ -32,6 +32,7 @@
   private static final String PROCESS_PREFIX = "process-";
   private static final String DETACHED_PREFIX = "detached-";
   private static final String LEARNT_NAME = "learnt";
+  private static final String REQUEST_IDS_NAME = "request-ids";
 
   /** Maximum size of learnt state; a larger file was not written by a node. */
   private static final int MAX_LEARNT_BYTES = 1 << 20;
@@ -214,6 +215,16 @@
     }
   }
 
+  /** Opens the ids of requests, which all processes of the node claim in one place. */
+  public RequestIds openRequestIds() throws IOException {
+    SharedRequestIds ids = SharedRequestIds.open(folder.resolve(REQUEST_IDS_NAME));
+    if (scan().otherProcesses().isEmpty()) {
+      // What a killed process had open may come again to this one.
+      ids.releaseRepeatable();
+    }
+    return ids;
+  }
+
   /** Records that a server is detached; does nothing if it is already. */
   public void detach(long server) throws IOException {
     try {
