A stop leaves the time that the running process owes

Cause: the agent took the longest deadline from the file on the disk when the step began; the running process has that of its start.

Now the agent keeps what it started a process with, and leaves 3 s and the margin where it does not know (a process that was taken over, an unreadable file, a node that says it runs with another file).

--- a/src/main/java/beamspread/agent/Managed.java
+++ b/src/main/java/beamspread/agent/Managed.java
@@ -4,14 +4,9 @@
 import beamspread.fleet.api.Kind;
 import beamspread.fleet.api.Outcome;
 import beamspread.record.RecordChange;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -20,11 +15,6 @@
 
 /** One instance: its machine, and the I/O that carries out what the machine decides. */
 final class Managed implements InstanceActions {
-  private static final JsonMapper MAPPER = new JsonMapper();
-
-  /** What a node needs beyond its longest deadline to end: late connections, and some to spare. */
-  private static final long STOP_MARGIN = 1_600_000_000L;
-
   /** How long until an outcome that could not be put on record is tried again. */
   private static final long AGAIN_MILLIS = 250;
 
@@ -35,6 +25,7 @@
   private final Path pidFile;
   private long sinceMillis;
   private long heardMillis;
+  private final StopAllowance stopAllowance = new StopAllowance();
   private boolean adopted;
   private ScheduledFuture<?> wake;
 
@@ -78,6 +69,7 @@
     ProcessId found = core.processes().adopt(pidFile);
     if (found != null) {
       adopted = true;
+      stopAllowance.adopted();
       machine.adopt(core.now(), found);
     }
     rearm();
@@ -109,27 +101,20 @@
   }
 
   void mean(boolean run) {
+    allowForDeadline();
     machine.mean(core.now(), run);
     rearm();
   }
 
-  /** A stop has to leave time for the longest deadline of the node's own settings. */
+  /** A stop has to leave time for the longest deadline that the running process has. */
   private void allowForDeadline() {
     if (config.stopFixed() || config.config() == null) {
       return;
     }
-    try {
-      double longest = 0;
-      JsonNode root = MAPPER.readTree(Files.readAllBytes(config.config()));
-      for (JsonNode service : root.path("settings").path("services")) {
-        longest = Math.max(longest, service.path("give-up").asDouble());
-      }
-      if (longest > 0) {
-        machine.stopWithin((long) (longest * 1e9) + STOP_MARGIN);
-      }
-    } catch (IOException e) {
-      // A file that makes no sense: the usual time.
-    }
+    NodeSays says = machine.says();
+    long nanos =
+        stopAllowance.nanos(NodeFile.read(config.config()), says == null ? null : says.digest());
+    machine.stopWithin(nanos == 0 ? config.timing().stop() : nanos);
   }
 
   /** Sees to it that the machine is ticked when it wants to be. */
@@ -161,6 +146,7 @@
     }
     core.work(
         () -> {
+          NodeFile startedWith = config.config() == null ? null : NodeFile.read(config.config());
           try {
             ProcessId id =
                 core.processes()
@@ -180,6 +166,8 @@
             core.execute(
                 () -> {
                   adopted = false;
+                  stopAllowance.started(startedWith);
+                  allowForDeadline();
                   machine.launched(core.now(), id);
                   rearm();
                 });
@@ -268,12 +256,10 @@
   @Override
   public String digest() {
     try {
-      byte[] bytes = config.config() == null ? new byte[0] : Files.readAllBytes(config.config());
-      return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+      return NodeFile.digest(
+          config.config() == null ? new byte[0] : Files.readAllBytes(config.config()));
     } catch (IOException e) {
       return "";
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException(e);
     }
   }
 
--- a/src/test/java/beamspread/agent/AgentRig.java
+++ b/src/test/java/beamspread/agent/AgentRig.java
@@ -108,6 +108,13 @@
     return this;
   }
 
+  /** Has the agent find out itself how long its instances need to stop. */
+  AgentRig withoutSetStopTime() {
+    int at = toml.indexOf("stop_s = 1.5\n");
+    toml.delete(at, at + "stop_s = 1.5\n".length());
+    return this;
+  }
+
   AgentRig append(String text) {
     toml.append(text);
     return this;
--- a/src/test/java/beamspread/agent/AgentTest.java
+++ b/src/test/java/beamspread/agent/AgentTest.java
@@ -83,6 +83,25 @@
     assertThat(rig.view("stubborn").pid()).isNull();
   }
 
+  /** Guards against a kill before the deadlines of the process that runs, by its replaced file. */
+  @Test
+  void aStopLeavesTheTimeThatTheProcessOwesWhateverItsFileSaysByNow() throws Exception {
+    rig.withoutSetStopTime().instance("shorter", "ignore-term").instance("broken", "ignore-term");
+    for (String instance : List.of("shorter", "broken")) {
+      Files.writeString(rig.config(instance), withDeadline("1.2"));
+    }
+    rig.startAndWait();
+    Files.writeString(rig.config("shorter"), withDeadline("0.1"));
+    Files.writeString(rig.config("broken"), "{");
+    assertThat(AgentRig.outcomes(rig.run(Kind.STOP, "*")))
+        .containsEntry("shorter", "succeeded: did not end within 2.8 s of SIGTERM: killed")
+        .containsEntry("broken", "succeeded: did not end within 2.8 s of SIGTERM: killed");
+  }
+
+  private static String withDeadline(String seconds) {
+    return "{\"version\":1,\"settings\":{\"services\":[{\"give-up\":" + seconds + "}]}}\n";
+  }
+
   @Test
   void instancesThatEndByThemselvesComeToACrashLoopThatIsTold() throws Exception {
     rig.instance("dies", "exit=3").instance("leaves", "exit=0").start();
