The end of a process counts also if it is told before its start

Cause: the end of a process comes to the agent's thread by another way than its start and may come first; the machine dropped it, as it did not know that process yet, and then took the process for a running one.

Now an end that comes during a launch is kept until the start names its process.

Evidence: three tests of InstanceMachineTest fail before, one of them over all orders of start, end, status, stop and tick up to seven.

--- a/src/main/java/beamspread/agent/InstanceMachine.java
+++ b/src/main/java/beamspread/agent/InstanceMachine.java
@@ -41,6 +41,9 @@
     READY
   }
 
+  /** The end of a process; the code is null where nobody can tell. */
+  private record ProcessEnd(ProcessId process, Integer code) {}
+
   private static final long FIRST_LOOK = 15_000_000L;
   private static final long LONGEST_LOOK_PAUSE = 250_000_000L;
   private static final long KILL_AGAIN = 1_000_000_000L;
@@ -59,6 +62,12 @@
   private boolean run;
   private ProcessId process;
   private boolean launching;
+
+  /**
+   * The end of the process that is being launched, told before its start; null if there is none.
+   */
+  private ProcessEnd earlyEnd;
+
   private long launchedAt;
   private long backoffUntil;
   private long killAt;
@@ -376,7 +385,11 @@
     process = id;
     launchedAt = now;
     lookSoon(now);
-    if (state == State.STOPPING || !run) {
+    ProcessEnd end = earlyEnd;
+    earlyEnd = null;
+    if (end != null && end.process().equals(id)) {
+      gone(now, id, end.code());
+    } else if (state == State.STOPPING || !run) {
       stop(now);
     }
   }
@@ -390,6 +403,9 @@
   /** A process has ended; {@code code} is null where nobody can tell. */
   void gone(long now, ProcessId id, Integer code) {
     if (!id.equals(process)) {
+      if (launching) {
+        earlyEnd = new ProcessEnd(id, code);
+      }
       return;
     }
     process = null;
--- a/src/test/java/beamspread/agent/InstanceMachineTest.java
+++ b/src/test/java/beamspread/agent/InstanceMachineTest.java
@@ -171,6 +171,73 @@
     assertThat(acts.said).doesNotContain("hup 5");
   }
 
+  /** Guards against a process that is gone and told as running: its end came before its start. */
+  @Test
+  void anEndThatComesBeforeItsStartIsNoRunningProcess() {
+    machine.begin(0, step(Kind.START, 1));
+    machine.intended(0, step(Kind.START, 1));
+    machine.gone(MS, process(7), 126);
+    machine.launched(2 * MS, process(7));
+    assertThat(acts.ends).hasSize(1);
+    assertThat(acts.ends.get(0)).startsWith("n1 failed: ended by itself with code 126");
+    assertThat(machine.process()).isNull();
+    assertThat(machine.state()).isEqualTo(InstanceMachine.State.BACKOFF);
+    machine.tick(20 * MS);
+    assertThat(acts.launches).as("it is started again").isEqualTo(2);
+    machine.launched(21 * MS, process(8));
+    assertThat(machine.process()).as("the next one runs").isEqualTo(process(8));
+  }
+
+  @Test
+  void anEarlyEndUnderAStopIsTheEndOfTheStop() {
+    machine.mean(0, true);
+    machine.gone(MS, process(7), 1);
+    machine.mean(2 * MS, false);
+    machine.launched(3 * MS, process(7));
+    assertThat(machine.process()).isNull();
+    assertThat(machine.state()).isEqualTo(InstanceMachine.State.STOPPED);
+    assertThat(acts.said).doesNotContain("term 7");
+  }
+
+  /**
+   * Every order in which a start, its end, a status and a stop can be told, up to seven of them.
+   */
+  @Test
+  void noOrderOfEventsLeavesAProcessThatIsGone() {
+    int events = 5;
+    int length = 7;
+    for (int order = 0; order < Math.pow(events, length); order++) {
+      InstanceMachine each = new InstanceMachine(new Acts(), TIMING, true);
+      boolean ended = false;
+      boolean started = false;
+      each.mean(0, true);
+      int rest = order;
+      for (int i = 1; i <= length; i++, rest /= events) {
+        long now = i * MS;
+        switch (rest % events) {
+          case 0 -> {
+            if (!started) {
+              started = true;
+              each.launched(now, process(7));
+            }
+          }
+          case 1 -> {
+            if (!ended) {
+              ended = true;
+              each.gone(now, process(7), 1);
+            }
+          }
+          case 2 -> each.status(now, process(7), says(7, 1, "old", null));
+          case 3 -> each.mean(now, false);
+          default -> each.tick(now);
+        }
+      }
+      if (started && ended) {
+        assertThat(process(7).equals(each.process())).as("order %d", order).isFalse();
+      }
+    }
+  }
+
   @Test
   void aProcessThatEndsUnderAReloadFailsIt() {
     reloading();
