--- a/src/test/java/beamspread/node/PausingServer.java
+++ b/src/test/java/beamspread/node/PausingServer.java
@@ -24,6 +24,9 @@
   /** A part of an answer and the pause before it; no text for an answer that never goes on. */
   record Piece(long pauseMillis, String text) {
     static final Piece NEVER = new Piece(0, null);
+
+    /** Resets the connection. */
+    static final Piece RESET = new Piece(0, "");
   }
 
   private static final int BACKLOG = 512;
@@ -147,6 +150,12 @@
           LockSupport.parkNanos(TimeUnit.MINUTES.toNanos(1));
           return;
         }
+        if (piece == Piece.RESET) {
+          ended = true;
+          socket.setSoLinger(true, 0);
+          socket.close();
+          return;
+        }
         if (piece.pauseMillis() > 0) {
           LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(piece.pauseMillis()));
         }
